One sidecar follows the store of kept prompts; prompts that are mostly their own stay out

Cause: entries guessed what the store holds from what they had sent there.

Change: entries name the store to the sidecar that is first in the agreed order; it follows the store's events as it does its engine's and tells the entries that are connected. A prompt is given to the store only where the part that the store lacks is at least as large as the request's own (is_worth_keeping). Feed and its subscriptions became types of their own.

--- a/crates/bilberry-core/src/lib.rs
+++ b/crates/bilberry-core/src/lib.rs
@@ -82,6 +82,7 @@
 pub use source::PeerCopy;
 pub use source::Source;
 pub use source::choose_source;
+pub use source::is_worth_keeping;
 pub use time::BootClock;
 pub use time::Clock;
 pub use time::SystemClock;
--- a/crates/bilberry-gateway/src/dispatch.rs
+++ b/crates/bilberry-gateway/src/dispatch.rs
@@ -7,6 +7,7 @@
 use bilberry_core::Source;
 use bilberry_core::UnixMs;
 use bilberry_core::choose_source;
+use bilberry_core::is_worth_keeping;
 use bilberry_core::part_key;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -64,8 +65,10 @@
         let shared_tokens = job.call.shared_tokens();
         if shared_tokens > 0 {
             dispatch.fetch_from = self.source(job, seat, &salt);
-            let is_kept = self.kept_tokens(job, &salt, now) == shared_tokens;
-            dispatch.save_to = self.prompt_store().filter(|_| !is_kept);
+            let lacking = shared_tokens - self.kept_tokens(job, &salt, now);
+            let own = job.call.prompt_tokens.saturating_sub(shared_tokens);
+            dispatch.save_to =
+                self.prompt_store().filter(|_| is_worth_keeping(lacking, own));
         }
         dispatch.weights = Some(weights);
         dispatch.salt = Some(salt);
--- a/crates/bilberry-gateway/src/feeds.rs
+++ b/crates/bilberry-gateway/src/feeds.rs
@@ -79,6 +79,7 @@
     loop {
         let outcome = listen(&gateway, &upstream, address, &mut told).await;
         upstream.forget_feed();
+        gateway.kept.forget_teller(&upstream.id);
         if std::mem::take(&mut told) {
             let reason =
                 outcome.err().map_or_else(String::new, |error| error.to_string());
@@ -102,6 +103,9 @@
     let mut noticed = None;
     loop {
         let notice = notice(gateway, upstream);
+        if notice.prompt_store.is_empty() {
+            gateway.kept.forget_teller(&upstream.id);
+        }
         if noticed.as_ref() != Some(&notice) {
             let body = Some(Body::EntryNotice(notice.clone()));
             framed.send(Frame { body, ..Frame::default() }).await?;
@@ -115,6 +119,10 @@
                 gateway.note_cache(upstream, &change);
                 None
             }
+            Some(Body::StoreChange(change)) => {
+                gateway.kept.tell(&upstream.id, &change);
+                None
+            }
             _ => None,
         };
         if let Some(state) = state {
@@ -151,5 +159,26 @@
         servers: peers.len() as u64,
         down: down as u64,
         newest: upstream.models(now).into_iter().map(newest).collect(),
+        prompt_store: store_to_follow(gateway, upstream, &peers),
+    }
+}
+
+/// Returns the address of the store that this sidecar is to follow, if any.
+///
+/// The first in the agreed order whose sidecar is heard does it, so that all
+/// entries ask the same one and the store answers one question for all of them.
+fn store_to_follow<D: Dialect, C: Clock>(
+    gateway: &Gateway<D, C>,
+    upstream: &Arc<Upstream>,
+    peers: &[Arc<Upstream>],
+) -> String {
+    let now = gateway.clock.now();
+    let heard = peers.iter().filter(|peer| peer.is_followed(now) && !peer.is_leaving());
+    let first = heard.min_by_key(|peer| peer.seed);
+    match gateway.prompt_store() {
+        Some(store) if first.is_some_and(|first| first.id == upstream.id) => {
+            store.to_string()
+        }
+        _ => String::new(),
     }
 }
--- a/crates/bilberry-gateway/src/held.rs
+++ b/crates/bilberry-gateway/src/held.rs
@@ -1,9 +1,12 @@
 //! Which shared prompts the store of kept prompts should have.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Mutex;
 
+use bilberry_core::Name;
 use bilberry_core::UnixMs;
+use bilberry_wire::CacheChange;
 
 /// For how long a part is taken to be in the store after it was given to it.
 ///
@@ -15,14 +18,20 @@
 /// How many parts are remembered before those out of date are cleared away.
 const CLEAR_ABOVE: usize = 50_000;
 
-/// The parts that the store of kept prompts was given.
+/// For how long a part that was given is taken to be kept before it is told so.
 ///
-/// Each upstream that reads a part under a new salt sends it to the store. What
-/// any upstream holds has therefore been given to the store, and needn't be
-/// again: the store's one link carries every copy.
+/// Events of a store come some hundred milliseconds late. Without this, each
+/// prompt that is asked for twice within that time would be given twice.
+const TOLD_WITHIN_MS: u64 = 500;
+
+/// What the store of kept prompts should have.
+///
+/// A sidecar that follows the store tells what it holds. While none does, each
+/// upstream that reads a part under a new salt is taken to have sent it there.
 #[derive(Debug, Default)]
 pub struct KeptParts {
     given: Mutex<HashMap<u64, UnixMs>>,
+    told: Mutex<HashMap<Name, HashSet<u64>>>,
 }
 
 impl KeptParts {
@@ -39,10 +48,34 @@
         }
     }
 
+    /// Takes over what a sidecar tells of the store.
+    pub fn tell(&self, teller: &Name, change: &CacheChange) {
+        let mut told = self.told.lock().unwrap();
+        let held = told.entry(teller.clone()).or_default();
+        if change.reset {
+            held.clear();
+        }
+        change.removed.iter().for_each(|key| {
+            held.remove(key);
+        });
+        held.extend(&change.added);
+    }
+
+    /// Forgets what a sidecar told, as it no longer follows the store.
+    pub fn forget_teller(&self, teller: &str) {
+        self.told.lock().unwrap().remove(teller);
+    }
+
     /// Reports whether the store should have a part.
     pub fn has(&self, key: u64, now: UnixMs) -> bool {
+        let told = self.told.lock().unwrap();
+        let within_ms = match told.is_empty() {
+            true => KEPT_MS,
+            false if told.values().any(|held| held.contains(&key)) => return true,
+            false => TOLD_WITHIN_MS,
+        };
         let given = self.given.lock().unwrap();
-        given.get(&key).is_some_and(|at| now.ms_since(*at) < KEPT_MS)
+        given.get(&key).is_some_and(|at| now.ms_since(*at) < within_ms)
     }
 
     /// Forgets everything, as the store has come back empty.
--- a/crates/bilberry-steward/src/feed.rs
+++ b/crates/bilberry-steward/src/feed.rs
@@ -1,5 +1,6 @@
 //! Telling entries how the engine fares.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -7,6 +8,7 @@
 
 use bilberry_core::Clock;
 use bilberry_wire::Body;
+use bilberry_wire::CacheChange;
 use bilberry_wire::Frame;
 use bilberry_wire::FrameCodec;
 use bilberry_wire::UpstreamState;
@@ -15,6 +17,7 @@
 use futures_util::StreamExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::broadcast;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -22,7 +25,10 @@
 use tokio_util::codec::Framed;
 
 use crate::CacheView;
+use crate::Engine;
+use crate::FollowedStore;
 use crate::Newest;
+use crate::PromptStores;
 
 /// How often the state is repeated although nothing changed.
 const REPEAT_EVERY: Duration = Duration::from_millis(500);
@@ -36,14 +42,24 @@
 /// How many entries may listen at once.
 const MAX_ENTRIES: u64 = 1_024;
 
-/// Serves the engine's state to every entry that connects.
-pub async fn serve_feed<C: Clock>(
-    listener: TcpListener,
-    state: watch::Receiver<UpstreamState>,
-    cache: Arc<CacheView>,
-    newest: Arc<Newest>,
-    clock: C,
-) {
+/// What a sidecar tells entries, and from where it knows it.
+#[derive(Debug)]
+pub struct Feed<E, C> {
+    /// The engine's state, as it changes.
+    pub state: watch::Receiver<UpstreamState>,
+    /// What the engine holds.
+    pub cache: Arc<CacheView>,
+    /// Stores of kept prompts, followed where an entry asks for one.
+    pub stores: PromptStores<E>,
+    /// The newest weights that were heard of.
+    pub newest: Arc<Newest>,
+    /// The clock.
+    pub clock: C,
+}
+
+/// Serves the feed to every entry that connects.
+pub async fn serve_feed<E: Engine, C: Clock>(listener: TcpListener, feed: Feed<E, C>) {
+    let feed = Arc::new(feed);
     let entries = Arc::new(AtomicU64::new(0));
     loop {
         let (stream, address) = match listener.accept().await {
@@ -58,11 +74,9 @@
             continue;
         }
         let listening = Listening::new(entries.clone());
-        let (state, newest, clock) = (state.clone(), newest.clone(), clock.clone());
-        let cache = cache.clone();
+        let feed = feed.clone();
         tokio::spawn(async move {
-            let ended = tell(stream, state, &cache, &listening, &newest, &clock).await;
-            if let Err(error) = ended {
+            if let Err(error) = tell(stream, &feed, &listening).await {
                 log::info!(target: "entry", address = address.to_string().as_str(), reason = error.to_string().as_str(); "lost");
             }
         });
@@ -91,18 +105,17 @@
     }
 }
 
-async fn tell<C: Clock>(
+async fn tell<E: Engine, C: Clock>(
     stream: TcpStream,
-    mut state: watch::Receiver<UpstreamState>,
-    cache: &CacheView,
+    feed: &Feed<E, C>,
     listening: &Listening,
-    newest: &Newest,
-    clock: &C,
 ) -> Result<(), WireError> {
     stream.set_nodelay(true)?;
     let mut framed = Framed::new(stream, FrameCodec::new());
-    let (held, mut changes) = cache.subscribe();
-    send(&mut framed, Body::CacheChange(held)).await?;
+    let mut state = feed.state.clone();
+    let mut cache = Subscription::of(feed.cache.clone());
+    let mut store = None;
+    send(&mut framed, Body::CacheChange(cache.all())).await?;
     loop {
         let told = state.borrow_and_update().clone();
         let with_count = UpstreamState { entries: listening.count(), ..told.clone() };
@@ -121,29 +134,82 @@
                     }
                     next_at = sent_at + LOAD_EVERY;
                 }
-                change = changes.recv() => {
-                    let change = match change {
-                        Ok(change) => change,
-                        // Too far behind: everything is told anew.
-                        Err(_) => {
-                            let (held, from_now) = cache.subscribe();
-                            changes = from_now;
-                            held
-                        }
-                    };
+                change = cache.next() => {
                     send(&mut framed, Body::CacheChange(change)).await?;
                 }
-                frame = framed.next() => match frame {
-                    None => return Ok(()),
-                    Some(frame) => if let Some(Body::EntryNotice(notice)) = frame?.body {
-                        newest.hear_entry(&notice, clock.now());
-                    },
+                change = next_of(&mut store) => {
+                    send(&mut framed, Body::StoreChange(change)).await?;
+                }
+                frame = framed.next() => {
+                    let Some(frame) = frame else { return Ok(()) };
+                    let Some(Body::EntryNotice(notice)) = frame?.body else { continue };
+                    feed.newest.hear_entry(&notice, feed.clock.now());
+                    let wanted = notice.prompt_store.parse::<SocketAddr>().ok();
+                    if store.as_ref().map(|store: &StoreSubscription| store.address) != wanted {
+                        store = wanted.map(|address| StoreSubscription::new(address, &feed.stores));
+                        if let Some(store) = &mut store {
+                            send(&mut framed, Body::StoreChange(store.parts.all())).await?;
+                        }
+                    }
                 },
             }
         }
     }
 }
 
+/// What one entry has been told of a cache.
+struct Subscription {
+    view: Arc<CacheView>,
+    held: Option<CacheChange>,
+    changes: broadcast::Receiver<CacheChange>,
+}
+
+impl Subscription {
+    fn of(view: Arc<CacheView>) -> Self {
+        let (held, changes) = view.subscribe();
+        Self { view, held: Some(held), changes }
+    }
+
+    /// Returns all that was held when the subscription began; empty later.
+    fn all(&mut self) -> CacheChange {
+        self.held.take().unwrap_or_default()
+    }
+
+    /// Returns the next change, or everything anew if too many were missed.
+    async fn next(&mut self) -> CacheChange {
+        match self.changes.recv().await {
+            Ok(change) => change,
+            Err(_) => {
+                *self = Self::of(self.view.clone());
+                self.all()
+            }
+        }
+    }
+}
+
+/// A store that one entry is told of.
+struct StoreSubscription {
+    address: SocketAddr,
+    parts: Subscription,
+    /// Keeps the store followed.
+    _store: Arc<FollowedStore>,
+}
+
+impl StoreSubscription {
+    fn new<E: Engine>(address: SocketAddr, stores: &PromptStores<E>) -> Self {
+        let store = stores.follow(address);
+        Self { address, parts: Subscription::of(store.view.clone()), _store: store }
+    }
+}
+
+/// Waits for the next change of a store; for ever where none is followed.
+async fn next_of(store: &mut Option<StoreSubscription>) -> CacheChange {
+    match store {
+        Some(store) => store.parts.next().await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn send(
     framed: &mut Framed<TcpStream, FrameCodec>,
     body: Body,
--- a/crates/bilberry-steward/src/lib.rs
+++ b/crates/bilberry-steward/src/lib.rs
@@ -8,6 +8,7 @@
 mod feed;
 mod metrics;
 mod newest;
+mod prompt_stores;
 mod steward;
 
 pub use cache::CacheEvents;
@@ -20,7 +21,10 @@
 pub use engine::LoadOrder;
 pub use engine::OrderReply;
 pub use engine::SwapMode;
+pub use feed::Feed;
 pub use feed::serve_feed;
 pub use metrics::StewardMetrics;
 pub use newest::Newest;
+pub use prompt_stores::FollowedStore;
+pub use prompt_stores::PromptStores;
 pub use steward::Steward;
--- a/crates/bilberry-wire/src/feed.rs
+++ b/crates/bilberry-wire/src/feed.rs
@@ -58,9 +58,13 @@
     /// How many upstreams of the service are down.
     #[prost(uint64, tag = "4")]
     pub down: u64,
+    /// The store of kept prompts that the sidecar is to follow for this entry;
+    /// empty if another one does.
+    #[prost(string, tag = "5")]
+    pub prompt_store: String,
 }
 
-/// Parts of prompts that an upstream began or ceased to hold.
+/// Parts of prompts that an upstream or a store began or ceased to hold.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct CacheChange {
     /// Whether all that was told before no longer counts.
--- a/crates/bilberry-wire/src/frame.rs
+++ b/crates/bilberry-wire/src/frame.rs
@@ -36,7 +36,7 @@
     #[prost(
         oneof = "Body",
         tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, \
-                                    18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28"
+                                    18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29"
     )]
     pub body: Option<Body>,
 }
@@ -119,6 +119,9 @@
     /// Tells an entry which parts of prompts an upstream holds.
     #[prost(message, tag = "28")]
     CacheChange(CacheChange),
+    /// Tells an entry which parts the store of kept prompts holds.
+    #[prost(message, tag = "29")]
+    StoreChange(CacheChange),
 }
 
 /// Who opened a connection.
--- a/crates/bilberryd/src/hosted.rs
+++ b/crates/bilberryd/src/hosted.rs
@@ -26,7 +26,9 @@
 use bilberry_node::StartError;
 use bilberry_node::bind;
 use bilberry_steward::CacheView;
+use bilberry_steward::Feed;
 use bilberry_steward::Newest;
+use bilberry_steward::PromptStores;
 use bilberry_steward::Steward;
 use bilberry_steward::serve_feed;
 use thiserror::Error;
@@ -190,7 +192,9 @@
     let feed = bind("peers", SocketAddr::new(settings.bind, settings.peers_port)).await?;
     let status = Arc::new(StatusPage { process: steward.clone() });
     let _metrics = serve_metrics(&settings, status).await?;
-    tokio::spawn(serve_feed(feed, steward.state(), cache, newest, clock));
+    let stores = PromptStores::new(HttpEngine::new);
+    let told = Feed { state: steward.state(), cache, stores, newest, clock };
+    tokio::spawn(serve_feed(feed, told));
     tokio::spawn(steward.run());
     wait_for_signal().await;
     Ok(true)
