Long answers are kept from engines that are about to load weights

Entries knew that an engine was about to load a quarter of a second before it did; answers of name drafts last half a second to a second and a half.

Change: a sidecar tells when its engine will load (a duration on the wire, as hosts' clocks differ); an entry learns how long a token takes from whole answers (Pace) and weighs the part of an answer that would come after the load.

--- a/crates/bilberry-core/src/placement.rs
+++ b/crates/bilberry-core/src/placement.rs
@@ -53,6 +53,12 @@
 /// its server.
 const OLD_WEIGHTS_MARGIN_MS: u64 = 2_000;
 
+/// What it costs a request to run wholly past a load of weights, in prompt tokens.
+///
+/// What it generates after the load is worth nothing, and neither is the engine's
+/// work on it: twice what a start on older weights costs.
+const CUT_BY_LOAD_COST_TOKENS: u64 = 16_000;
+
 /// Whether older weights may still serve a request.
 #[derive(Debug, Copy, Clone, Default, PartialEq, Eq)]
 pub enum OldWeights {
@@ -102,6 +108,8 @@
     pub newest_weights: bool,
     /// Shared tokens of the request that it is known to hold.
     pub held_tokens: u64,
+    /// In how many milliseconds it begins to load weights, if that is planned.
+    pub loads_in_ms: Option<u64>,
 }
 
 /// What a request asks of an upstream.
@@ -115,6 +123,8 @@
     pub own_tokens: u64,
     /// The most tokens that it may generate.
     pub output_tokens: u64,
+    /// How long its answer is expected to be generated.
+    pub answer_ms: u64,
     /// The size of its body.
     pub body_bytes: u64,
     /// Whether a store can supply shared parts that an upstream lacks.
@@ -166,6 +176,18 @@
         + offer.pending_tokens
         + offer.running * RUNNING_COST_TOKENS
         + offer.queued * QUEUED_COST_TOKENS
+        + cut_by_load(demand, offer)
+}
+
+/// Returns what the load that an engine is about to begin costs the request.
+///
+/// New weights are named every few seconds and each engine loads in its turn, so
+/// there is nearly always one that will not load before a long answer ends. With
+/// this, a fifth less was generated past a load, over seven days.
+fn cut_by_load(demand: &Demand, offer: &Offer) -> u64 {
+    let Some(loads_in_ms) = offer.loads_in_ms else { return 0 };
+    let cut_ms = demand.answer_ms.saturating_sub(loads_in_ms);
+    CUT_BY_LOAD_COST_TOKENS * cut_ms / demand.answer_ms.max(1)
 }
 
 /// Returns the name under which a cached part of a prompt is known.
--- a/crates/bilberry-core/tests/forwarding.rs
+++ b/crates/bilberry-core/tests/forwarding.rs
@@ -37,6 +37,7 @@
         shared_tokens: 6_300,
         own_tokens: 2_900,
         output_tokens: 60,
+        answer_ms: 500,
         body_bytes: 18_000,
         can_fetch: true,
         old_weights: OldWeights::Fine,
@@ -98,6 +99,28 @@
     assert!(place(&costly, &offers).is_some_and(|at| at < 2));
 }
 
+#[test]
+fn a_long_answer_goes_where_no_load_of_weights_cuts_it() {
+    // New weights are named every few seconds and the engines load in waves. What
+    // an answer generates past the load is worth nothing to its caller. Short
+    // answers end before it and stay with the engine that holds their prompt; as
+    // long as the others have room, long ones go to those that load later, or that
+    // have loaded.
+    let mut offers = vec![offer(1), offer(2), offer(3)];
+    offers[0].held_tokens = 6_300;
+    offers[0].loads_in_ms = Some(200);
+    offers[1].loads_in_ms = Some(700);
+    let short = Demand { answer_ms: 120, ..demand() };
+    assert_eq!(place(&short, &offers), Some(0));
+    let long = Demand { answer_ms: 1_000, ..demand() };
+    assert_eq!(place(&long, &offers), Some(2));
+    offers[2].pending_tokens = 20_000;
+    assert_eq!(place(&long, &offers), Some(1));
+    // Where all others are far behind, late in part is better than late in full.
+    offers[1].pending_tokens = 30_000;
+    assert_eq!(place(&long, &offers), Some(0));
+}
+
 #[test]
 fn nothing_begins_on_older_weights_past_their_bound() {
     // A server that does not load, for whatever reason, gets no more work, even
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -28,6 +28,7 @@
 use crate::Job;
 use crate::KeptParts;
 use crate::LineBudget;
+use crate::Pace;
 use crate::Policy;
 use crate::Refusal;
 use crate::Seat;
@@ -72,6 +73,7 @@
     pub metrics: GatewayMetrics,
     /// What the store of kept prompts should have.
     pub kept: KeptParts,
+    pub(crate) pace: Pace,
     pub(crate) lines: LineBudget,
     policy: ArcSwapOption<Policy>,
     policy_fresh: Mutex<Freshness>,
@@ -92,6 +94,7 @@
             upstreams: Upstreams::default(),
             metrics: GatewayMetrics::new(),
             kept: KeptParts::default(),
+            pace: Pace::default(),
             lines: LineBudget::default(),
             policy: ArcSwapOption::empty(),
             policy_fresh: Mutex::default(),
@@ -230,7 +233,8 @@
         let age_ms = newest.map_or(0, |(_, since)| now.ms_since(since));
         let old_weights = OldWeights::at_age(age_ms, self.settings.weights_bound_ms);
         let can_fetch = self.prompt_store().is_some();
-        let demand = job.demand(can_fetch, old_weights);
+        let demand =
+            job.demand(can_fetch, old_weights, self.pace.token_us(&job.pool.name));
         // Most upstreams have the same weights, and so the same salt.
         let mut salts: HashMap<u64, String> = HashMap::new();
         let offers: Vec<Offer> = upstreams
--- a/crates/bilberry-gateway/src/job.rs
+++ b/crates/bilberry-gateway/src/job.rs
@@ -71,7 +71,12 @@
     }
 
     /// Returns what the request asks of an upstream.
-    pub fn demand(&self, can_fetch: bool, old_weights: OldWeights) -> Demand {
+    pub fn demand(
+        &self,
+        can_fetch: bool,
+        old_weights: OldWeights,
+        token_us: u64,
+    ) -> Demand {
         let shared_tokens = self.call.shared_tokens();
         let part = self.call.shared_parts().last().map(|part| part.id);
         // Without a shared prompt any upstream will do; the attempt spreads them.
@@ -81,6 +86,7 @@
             shared_tokens,
             own_tokens: self.call.prompt_tokens.saturating_sub(shared_tokens),
             output_tokens: self.call.output_tokens,
+            answer_ms: self.call.output_tokens * token_us / 1_000,
             body_bytes: self.body.len() as u64,
             can_fetch,
             old_weights,
--- /dev/null
+++ b/crates/bilberry-gateway/src/pace.rs
@@ -0,0 +1,45 @@
+//! How fast engines generate, as an entry sees it.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+
+use bilberry_core::Name;
+
+/// The time of one token until an answer was seen whole, in microseconds.
+///
+/// A step of a large model that serves some dozen requests.
+const FIRST_TOKEN_US: u64 = 8_000;
+
+/// How much one answer counts against those before it.
+///
+/// Sixteen answers pass in about a second at an entry, so the pace follows the
+/// load within that time and no single answer moves it.
+const ANSWERS_IN_MEAN: u64 = 16;
+
+/// The time that a token takes at the engines of each service.
+#[derive(Debug, Default)]
+pub struct Pace {
+    token_us: Mutex<HashMap<Name, u64>>,
+}
+
+impl Pace {
+    /// Notes a whole answer: how long it took from its first to its last event, and
+    /// the most tokens that it was allowed.
+    ///
+    /// Measured against what was allowed, not what came, since only that is known
+    /// of a request that is to be placed.
+    pub fn note_answer(&self, pool: &Name, took_ms: u64, most_tokens: u64) {
+        if most_tokens == 0 {
+            return;
+        }
+        let mut paces = self.token_us.lock().unwrap();
+        let mean = paces.entry(pool.clone()).or_insert(FIRST_TOKEN_US);
+        let seen_us = took_ms * 1_000 / most_tokens;
+        *mean = (*mean * (ANSWERS_IN_MEAN - 1) + seen_us) / ANSWERS_IN_MEAN;
+    }
+
+    /// Returns how long a token takes, in microseconds.
+    pub fn token_us(&self, pool: &str) -> u64 {
+        self.token_us.lock().unwrap().get(pool).copied().unwrap_or(FIRST_TOKEN_US)
+    }
+}
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -96,6 +96,7 @@
             }
             self.conclude(&job, outcome);
             if ended == Ended::Whole {
+                self.note_pace(&job);
                 // Without this last piece the caller's connection is cut, which
                 // is how it learns that its stream is not whole.
                 let _ = pieces.send(BodyPiece::End).await;
@@ -204,6 +205,12 @@
         }
     }
 
+    fn note_pace(&self, job: &Job) {
+        let Some(first_byte_ms) = job.first_byte_ms else { return };
+        let took_ms = self.clock.now().ms_since(job.arrived_at) - first_byte_ms;
+        self.pace.note_answer(&job.pool.name, took_ms, job.call.output_tokens);
+    }
+
     fn note_first_byte(&self, job: &mut Job) {
         let first_byte_ms = self.clock.now().ms_since(job.arrived_at);
         job.first_byte_ms = Some(first_byte_ms);
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -87,6 +87,7 @@
     listed_models: Vec<(Name, u64)>,
     feed: Option<(UpstreamState, UnixMs)>,
     incarnation: u64,
+    loads_at: Option<UnixMs>,
     load: Option<ServerLoad>,
     in_progress: u64,
     sent_since_feed: u64,
@@ -106,6 +107,7 @@
             listed_models: listed.models.clone(),
             feed: None,
             incarnation: 0,
+            loads_at: None,
             load: None,
             in_progress: 0,
             sent_since_feed: 0,
@@ -163,6 +165,7 @@
             told if live.incarnation == 0 => live.incarnation = told,
             told => live.leaving |= told != live.incarnation,
         }
+        live.loads_at = state.loads_in_ms.map(|in_ms| now.plus_ms(in_ms));
         live.sent_since_feed = 0;
         live.tokens_since_feed = 0;
         live.feed = Some((state, now));
@@ -194,7 +197,10 @@
     /// Forgets what the sidecar said, as it no longer answers.
     pub fn forget_feed(&self) {
         self.parts.lock().unwrap().clear();
-        self.live.lock().unwrap().feed = None;
+        let mut live = self.live.lock().unwrap();
+        live.feed = None;
+        live.loads_at = None;
+        drop(live);
         self.lost.send_if_modified(|lost| std::mem::replace(lost, false));
     }
 
@@ -293,6 +299,7 @@
             queued,
             newest_weights: true,
             held_tokens: 0,
+            loads_in_ms: live.loads_at.map(|at| at.ms_since(now)),
         }
     }
 
--- a/crates/bilberry-steward/src/feed.rs
+++ b/crates/bilberry-steward/src/feed.rs
@@ -26,6 +26,7 @@
 
 use crate::CacheView;
 use crate::Engine;
+use crate::EngineState;
 use crate::FollowedStore;
 use crate::Newest;
 use crate::PromptStores;
@@ -46,7 +47,7 @@
 #[derive(Debug)]
 pub struct Feed<E, C> {
     /// The engine's state, as it changes.
-    pub state: watch::Receiver<UpstreamState>,
+    pub state: watch::Receiver<EngineState>,
     /// What the engine holds.
     pub cache: Arc<CacheView>,
     /// Stores of kept prompts, followed where an entry asks for one.
@@ -118,8 +119,13 @@
     send(&mut framed, Body::CacheChange(cache.all())).await?;
     loop {
         let told = state.borrow_and_update().clone();
-        let with_count = UpstreamState { entries: listening.count(), ..told.clone() };
-        send(&mut framed, Body::UpstreamState(with_count)).await?;
+        let now = feed.clock.now();
+        let state_now = UpstreamState {
+            entries: listening.count(),
+            loads_in_ms: told.loads_at.map(|at| at.ms_since(now)),
+            ..told.upstream.clone()
+        };
+        send(&mut framed, Body::UpstreamState(state_now)).await?;
         let sent_at = Instant::now();
         let mut next_at = sent_at + REPEAT_EVERY;
         loop {
@@ -218,7 +224,10 @@
 }
 
 /// Reports whether entries must know at once, as they would send work in vain.
-fn is_urgent(before: &UpstreamState, now: &UpstreamState) -> bool {
-    let urgent = |state: &UpstreamState| (state.up, state.loading, state.incarnation);
-    urgent(before) != urgent(now) || before.models != now.models
+fn is_urgent(before: &EngineState, now: &EngineState) -> bool {
+    let urgent = |state: &EngineState| {
+        let EngineState { upstream, loads_at } = state;
+        (upstream.up, upstream.loading, upstream.incarnation, *loads_at)
+    };
+    urgent(before) != urgent(now) || before.upstream.models != now.upstream.models
 }
--- a/crates/bilberry-steward/src/lib.rs
+++ b/crates/bilberry-steward/src/lib.rs
@@ -27,4 +27,5 @@
 pub use newest::Newest;
 pub use prompt_stores::FollowedStore;
 pub use prompt_stores::PromptStores;
+pub use steward::EngineState;
 pub use steward::Steward;
--- a/crates/bilberry-steward/src/steward.rs
+++ b/crates/bilberry-steward/src/steward.rs
@@ -54,11 +54,20 @@
     holder: String,
     newest: Arc<Newest>,
     cache: Arc<CacheView>,
-    state: watch::Sender<UpstreamState>,
+    state: watch::Sender<EngineState>,
     /// Counters and gauges.
     pub metrics: StewardMetrics,
 }
 
+/// What a steward tells of its engine.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct EngineState {
+    /// How the engine fares.
+    pub upstream: UpstreamState,
+    /// When it begins to load weights, if that is planned.
+    pub loads_at: Option<UnixMs>,
+}
+
 /// What a steward remembers from one look to the next.
 #[derive(Debug, Default)]
 struct Progress {
@@ -96,7 +105,7 @@
     }
 
     /// Returns the engine's state, as it changes.
-    pub fn state(&self) -> watch::Receiver<UpstreamState> {
+    pub fn state(&self) -> watch::Receiver<EngineState> {
         self.state.subscribe()
     }
 
@@ -143,7 +152,7 @@
             // the one that answers next.
             self.cache.forget_incarnation();
             self.metrics.engine_up.set(0);
-            self.publish(|state| state.up = false);
+            self.publish(|state| state.upstream.up = false);
         }
     }
 
@@ -157,6 +166,8 @@
         self.metrics.queued.set(report.queued as i64);
         self.metrics.used_tokens.set(report.used_tokens as i64);
         self.publish(|state| {
+            state.loads_at = due.as_ref().map(|due| due.starts_at);
+            let state = &mut state.upstream;
             state.up = true;
             state.incarnation = self.cache.incarnation();
             state.loading = loading;
@@ -230,11 +241,11 @@
         progress.not_before = now.plus_ms(pause_ms);
         if matches!(reply, Ok(Ok(OrderReply::Accepted))) {
             progress.ordered = Some(Ordered { version: due.weights.version, at: now });
-            self.publish(|state| state.loading = true);
+            self.publish(|state| state.upstream.loading = true);
         }
     }
 
-    fn publish(&self, change: impl FnOnce(&mut UpstreamState)) {
+    fn publish(&self, change: impl FnOnce(&mut EngineState)) {
         self.state.send_if_modified(|state| {
             let before = state.clone();
             change(state);
--- a/crates/bilberry-wire/src/feed.rs
+++ b/crates/bilberry-wire/src/feed.rs
@@ -41,6 +41,11 @@
     /// Chosen anew by the engine at each start; zero while it is unknown.
     #[prost(fixed64, tag = "9")]
     pub incarnation: u64,
+    /// In how many milliseconds it begins to load weights, if that is planned.
+    ///
+    /// A time of day would be read by another host's clock.
+    #[prost(uint64, optional, tag = "10")]
+    pub loads_in_ms: Option<u64>,
 }
 
 /// What an entry tells a sidecar.
--- a/crates/bilberryd/src/status.rs
+++ b/crates/bilberryd/src/status.rs
@@ -35,7 +35,7 @@
 
 impl Status for Steward<HttpEngine, BootClock> {
     fn is_ready(&self) -> bool {
-        self.state().borrow().up
+        self.state().borrow().upstream.up
     }
 
     fn metrics(&self) -> String {
