The operators' times for callers; long plain answers pass as they come

Cause: one fixed time of 60 s covered both a slow head and a resting caller, whatever the operators' HeaderTimeoutMs and IdleTimeoutMs said. A plain answer of over 256 kB went through the splitter of event streams, which held back what no blank line ended: such an answer was cut at its end, and one that states no length was answered 502.

Ruled out: the HTTP library's own timeout, one for both and fixed when a connection opens.

Change: a caller's connection knows whether its caller rests, sends a head or waits for its answer, and ends where that takes too long (client_times.rs); the times come from the configuration in force. Plain answers are read up to 256 kB; what is longer is passed on from there, and cut visibly where its server breaks off.

--- a/crates/bilberry-gateway/src/policy.rs
+++ b/crates/bilberry-gateway/src/policy.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use bilberry_core::Name;
+use bilberry_node::ClientTimes;
 
 /// One configuration, complete and checked.
 #[derive(Debug, Default)]
@@ -110,12 +111,18 @@
     pub header_bytes: usize,
     /// The largest body of a request.
     pub body_bytes: usize,
+    /// How long a caller may take to send a head, and to rest between requests.
+    pub times: ClientTimes,
 }
 
 impl Default for CallerLimits {
     fn default() -> Self {
         // Used only until the operators' own bounds are in force.
-        Self { header_bytes: 64 * 1024, body_bytes: 4 * 1024 * 1024 }
+        Self {
+            header_bytes: 64 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            times: ClientTimes { header_ms: 60_000, idle_ms: 60_000 },
+        }
     }
 }
 
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -7,6 +7,8 @@
 use bilberry_core::EventSplitter;
 use bilberry_node::BodyPiece;
 use bilberry_node::OutBody;
+use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
 use hyper::Response;
@@ -47,28 +49,119 @@
     Expired,
 }
 
+impl Ended {
+    /// Returns the word for logs and metrics.
+    fn outcome(self) -> &'static str {
+        match self {
+            Self::Whole => "served",
+            Self::Broken(_) => "broken",
+            Self::CallerLeft => "caller_left",
+            Self::Expired => "cut_at_deadline",
+        }
+    }
+}
+
+/// A plain answer, or as much of it as is held back.
+pub(crate) enum PlainAnswer {
+    Whole(Response<OutBody>),
+    Long(Answer, Bytes),
+}
+
+/// Reads a body up to the size that is held back; false if there is more.
+async fn read_up_to(
+    answer: &mut Answer,
+    read: &mut BytesMut,
+) -> Result<bool, hyper::Error> {
+    while let Some(frame) = answer.response.body_mut().frame().await {
+        if let Ok(data) = frame?.into_data() {
+            read.extend_from_slice(&data);
+        }
+        if read.len() > WHOLE_ANSWER_BYTES {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
 impl<D: Dialect, C: Clock> Gateway<D, C> {
-    /// Reads a plain answer whole; an error if it breaks off.
+    /// Reads a plain answer whole, unless it is long; an error if it breaks off.
     pub(crate) async fn read_whole(
         &self,
         job: &mut Job,
         mut answer: Answer,
-    ) -> Result<Response<OutBody>, Refusal> {
+    ) -> Result<PlainAnswer, Refusal> {
         self.note_prompt_read(job, &mut answer.seat);
         let left = job.deadline.left(self.clock.now());
-        let (head, body) = answer.response.into_parts();
-        let limited = http_body_util::Limited::new(body, WHOLE_ANSWER_BYTES);
-        let whole = match timeout(left, limited.collect()).await {
-            Ok(Ok(whole)) => whole.to_bytes(),
+        let mut read = BytesMut::new();
+        let reading = read_up_to(&mut answer, &mut read);
+        let is_whole = match timeout(left, reading).await {
+            Ok(Ok(is_whole)) => is_whole,
             Ok(Err(error)) => {
                 job.detail = format!("the answer broke off: {error}");
                 return Err(Refusal::Unanswered);
             }
             Err(_) => return Err(Refusal::Expired),
         };
-        self.connections.keep(answer.connection, &head.headers);
         self.note_first_byte(job);
-        Ok(self.caller_answer(head.status, &head.headers, OutBody::whole(whole)))
+        let begun = read.freeze();
+        if !is_whole {
+            return Ok(PlainAnswer::Long(answer, begun));
+        }
+        let (head, _) = answer.response.into_parts();
+        self.connections.keep(answer.connection, &head.headers);
+        let body = OutBody::whole(begun);
+        Ok(PlainAnswer::Whole(self.caller_answer(head.status, &head.headers, body)))
+    }
+
+    /// Passes a long plain answer on, of which `begun` has been read.
+    ///
+    /// It is not held back until it is whole, so one that breaks off is cut.
+    pub(crate) fn pass_on(
+        self: Arc<Self>,
+        job: Job,
+        mut answer: Answer,
+        begun: Bytes,
+    ) -> Response<OutBody> {
+        let (pieces, body) = mpsc::channel(PIECES_AHEAD);
+        let head = answer.response.headers();
+        let body = OutBody::Stream(body);
+        let started = self.caller_answer(answer.response.status(), head, body);
+        tokio::spawn(async move {
+            let ended = self.pass_all(&job, &mut answer, begun, &pieces).await;
+            self.conclude(&job, ended.outcome());
+            if ended == Ended::Whole {
+                let headers = answer.response.headers().clone();
+                self.connections.keep(answer.connection, &headers);
+                let _ = pieces.send(BodyPiece::End).await;
+            }
+        });
+        started
+    }
+
+    async fn pass_all(
+        &self,
+        job: &Job,
+        answer: &mut Answer,
+        begun: Bytes,
+        pieces: &mpsc::Sender<BodyPiece>,
+    ) -> Ended {
+        let mut next = begun;
+        loop {
+            if pieces.send(BodyPiece::Data(next)).await.is_err() {
+                return Ended::CallerLeft;
+            }
+            let left = job.deadline.left(self.clock.now());
+            let frame = tokio::select! {
+                frame = answer.response.body_mut().frame() => frame,
+                _ = pieces.closed() => return Ended::CallerLeft,
+                _ = sleep(left) => return Ended::Expired,
+            };
+            next = match frame {
+                None => return Ended::Whole,
+                Some(Err(_)) => return Ended::Broken("broke off"),
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            };
+        }
     }
 
     /// Passes a stream on as it comes, and resumes it where that is allowed.
@@ -85,16 +178,10 @@
         );
         tokio::spawn(async move {
             let ended = self.relay_all(&mut job, answer, &pieces).await;
-            let outcome = match ended {
-                Ended::Whole => "served",
-                Ended::Broken(_) => "broken",
-                Ended::CallerLeft => "caller_left",
-                Ended::Expired => "cut_at_deadline",
-            };
             if let Ended::Broken(reason) = ended {
                 job.detail = format!("{}; {reason}", job.detail);
             }
-            self.conclude(&job, outcome);
+            self.conclude(&job, ended.outcome());
             if ended == Ended::Whole {
                 self.note_pace(&job);
                 // Without this last piece the caller's connection is cut, which
@@ -241,10 +328,7 @@
     }
 }
 
-/// Reports whether an answer is read whole before it is passed on.
-pub(crate) fn is_read_whole(job: &Job, response: &Response<Incoming>) -> bool {
-    let length = hyper::body::Body::size_hint(response.body()).exact();
-    let small = length.is_none_or(|length| length <= WHOLE_ANSWER_BYTES as u64);
-    let stream = job.route.kind.is_stream() && response.status().is_success();
-    small && !stream
+/// Reports whether an answer is an event stream.
+pub(crate) fn is_stream(job: &Job, response: &Response<Incoming>) -> bool {
+    job.route.kind.is_stream() && response.status().is_success()
 }
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -5,10 +5,12 @@
 use bilberry_core::Clock;
 use bilberry_core::Name;
 use bilberry_core::UnixMs;
+use bilberry_node::ClientTimes;
 use bilberry_node::HttpHandler;
 use bilberry_node::OutBody;
 use bilberry_node::ReadBodyError;
 use bilberry_node::read_body;
+use bytes::Bytes;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -24,7 +26,9 @@
 use crate::Job;
 use crate::Policy;
 use crate::Refusal;
-use crate::relay::is_read_whole;
+use crate::forward::Answer;
+use crate::relay::PlainAnswer;
+use crate::relay::is_stream;
 
 /// How long a body may take to arrive.
 const BODY_MS: u64 = 10_000;
@@ -40,6 +44,10 @@
 const COME_BACK_MS: (u64, u64) = (100, 1_000);
 
 impl<D: Dialect, C: Clock> HttpHandler for Gateway<D, C> {
+    fn client_times(&self) -> Option<ClientTimes> {
+        self.policy().map(|policy| policy.limits.times)
+    }
+
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<OutBody> {
         let gateway = self.clone();
         let mut answer = gateway.serve(request).await;
@@ -73,6 +81,7 @@
                 answer
             }
             (Served::Stream(answer), Some(job)) => self.relay(job, answer),
+            (Served::Long(answer, begun), Some(job)) => self.pass_on(job, answer, begun),
             (Served::Refused(refusal), Some(job)) => self.refuse(&job, &refusal),
             (_, None) => Refusal::NotReady.answer(COME_BACK_MS.0),
         }
@@ -150,7 +159,7 @@
         body: Incoming,
         policy: &Policy,
         job: &Job,
-    ) -> Result<bytes::Bytes, Refusal> {
+    ) -> Result<Bytes, Refusal> {
         let most = policy.limits.body_bytes;
         let left_ms = job.deadline.ms_since(self.clock.now());
         read_body(body, most, left_ms.min(BODY_MS)).await.map_err(|error| match error {
@@ -202,7 +211,9 @@
 /// What serving a request led to.
 enum Served {
     Whole(Response<OutBody>),
-    Stream(crate::forward::Answer),
+    Stream(Answer),
+    /// A plain answer that is too long to be held back, and what was read of it.
+    Long(Answer, Bytes),
     Refused(Refusal),
 }
 
@@ -225,11 +236,14 @@
                 Ok(answer) => answer,
                 Err(refusal) => return Served::Refused(refusal),
             };
-            if !is_read_whole(job, &answer.response) {
+            if is_stream(job, &answer.response) {
                 return Served::Stream(answer);
             }
             match self.gateway.read_whole(job, answer).await {
-                Ok(answer) => return Served::Whole(answer),
+                Ok(PlainAnswer::Whole(answer)) => return Served::Whole(answer),
+                Ok(PlainAnswer::Long(answer, begun)) => {
+                    return Served::Long(answer, begun);
+                }
                 Err(Refusal::Unanswered) => {
                     job.runs += 1;
                     let again = job.may_run_after(job.runs)
--- a/crates/bilberry-node/src/http.rs
+++ b/crates/bilberry-node/src/http.rs
@@ -25,11 +25,20 @@
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
+use crate::ClientTimes;
 use crate::OutBody;
 use crate::StartError;
+use crate::client_times::AnswerBody;
+use crate::client_times::BoundedIo;
+use crate::client_times::ClientPhase;
 
 /// Serves HTTP requests.
 pub trait HttpHandler: Send + Sync + 'static {
+    /// Returns how long clients may take now, where that changes at run time.
+    fn client_times(&self) -> Option<ClientTimes> {
+        None
+    }
+
     /// Answers one request.
     fn answer(
         self: Arc<Self>,
@@ -42,7 +51,8 @@
 pub struct HttpLimits {
     /// The largest head of a request.
     pub header_bytes: usize,
-    /// How long a client may take to send its head.
+    /// How long a client may take to send its head, and to begin the next one,
+    /// unless the handler knows better.
     pub header_ms: u64,
     /// How many connections may be open.
     pub connections: usize,
@@ -102,8 +112,8 @@
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
-        // A client that sends its head byte by byte would hold its place for ever.
-        .header_read_timeout(Duration::from_millis(limits.header_ms))
+        // The connection itself keeps the time, see `client_times`.
+        .header_read_timeout(None)
         .max_buf_size(limits.header_bytes)
         // Callers that close only their sending half still read their answer.
         .half_close(false);
@@ -120,11 +130,24 @@
         let Ok(place) = places.clone().try_acquire_owned() else { continue };
         let _ = socket.set_nodelay(true);
         let handler = handler.clone();
+        let times = {
+            let handler = handler.clone();
+            move || client_times(handler.as_ref(), limits)
+        };
+        let phase = ClientPhase::new(times());
+        let io = BoundedIo::new(socket, times, phase.clone());
         let service = service_fn(move |request| {
             let handler = handler.clone();
-            async move { Ok::<_, Infallible>(handler.answer(request).await) }
+            let phase = phase.clone();
+            phase.begin_answer();
+            async move {
+                let answer = handler.clone().answer(request).await;
+                let times = client_times(handler.as_ref(), limits);
+                let answer = answer.map(|body| AnswerBody::new(body, times, phase));
+                Ok::<_, Infallible>(answer)
+            }
         });
-        let connection = builder.serve_connection(TokioIo::new(socket), service);
+        let connection = builder.serve_connection(TokioIo::new(io), service);
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
             let _ = connection.await;
@@ -133,6 +156,11 @@
     }
 }
 
+fn client_times<H: HttpHandler>(handler: &H, limits: HttpLimits) -> ClientTimes {
+    let fixed = ClientTimes { header_ms: limits.header_ms, idle_ms: limits.header_ms };
+    handler.client_times().unwrap_or(fixed)
+}
+
 /// Why a body could not be read.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum ReadBodyError {
--- a/crates/bilberry-node/src/lib.rs
+++ b/crates/bilberry-node/src/lib.rs
@@ -2,6 +2,7 @@
 //! configuration in force, members, links to peers and the operations address.
 
 mod body;
+mod client_times;
 mod common;
 mod config;
 mod events;
@@ -22,6 +23,7 @@
 pub use body::CutShort;
 pub use body::OutBody;
 pub use body::Piece as BodyPiece;
+pub use client_times::ClientTimes;
 pub use config::ConfigStore;
 pub use config::InForce;
 pub use config::InstallError;
