A stream ends with its server, not with its sidecar's word

Change: said to be down, an upstream must also have been silent for 200 ms before its stream is taken elsewhere.

--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -23,6 +23,7 @@
 use crate::Gateway;
 use crate::Job;
 use crate::Refusal;
+use crate::Upstream;
 use crate::forward::Answer;
 use crate::record::write_outcome;
 
@@ -37,6 +38,12 @@
 /// How many times its longest pause a stream may be silent before it is resumed.
 const SILENT_PAUSES: u64 = 4;
 
+/// How long an upstream that is said to be gone may still be silent.
+///
+/// Ten times the usual time between two events; a stream that is gone on with then
+/// is still within the pause that most routes allow.
+const LOST_SILENCE: Duration = Duration::from_millis(200);
+
 /// The silence after which a stream without a stated pause is resumed.
 const DEFAULT_SILENCE_MS: u64 = 1_000;
 
@@ -67,6 +74,16 @@
     Long(Answer, Bytes),
 }
 
+/// Returns once the sidecar says that the upstream is gone and nothing has come from
+/// it for a while since.
+///
+/// An upstream that leaves answers no more questions and still finishes its runs.
+/// Streams that may run once were cut on the sidecar's word alone, and lost.
+async fn lost_and_silent(upstream: &Upstream) {
+    upstream.lost().await;
+    sleep(LOST_SILENCE).await;
+}
+
 /// Reads a body up to the size that is held back; false if there is more.
 async fn read_up_to(
     answer: &mut Answer,
@@ -271,7 +288,9 @@
                         false => return Ended::Broken("out of reach"),
                     }
                 }
-                _ = upstream.lost(), if may_resume || may_move => return Ended::Broken("lost"),
+                _ = lost_and_silent(&upstream), if may_resume || may_move => {
+                    return Ended::Broken("lost");
+                }
             };
             let bytes = match frame {
                 None if splitter.is_at_boundary() => return Ended::Whole,
