--- a/crates/bilberry-node/src/exchange.rs
+++ b/crates/bilberry-node/src/exchange.rs
@@ -16,8 +16,8 @@
 
 use crate::Links;
 use crate::Node;
-use crate::sync::HeadSeen;
-use crate::sync::SyncActor;
+use crate::sync_actor::HeadSeen;
+use crate::sync_actor::SyncActor;
 
 /// How long one question to a peer may take.
 const ASK_WAIT: Duration = Duration::from_millis(1_000);
--- a/crates/bilberry-node/src/watch.rs
+++ b/crates/bilberry-node/src/watch.rs
@@ -15,10 +15,10 @@
 use crate::Node;
 use crate::registration::NODES_PREFIX;
 use crate::registration::Registration;
-use crate::sync::HEAD_KEY;
-use crate::sync::HeadSeen;
-use crate::sync::NodesSeen;
-use crate::sync::SyncActor;
+use crate::sync_actor::HEAD_KEY;
+use crate::sync_actor::HeadSeen;
+use crate::sync_actor::NodesSeen;
+use crate::sync_actor::SyncActor;
 
 /// How often watchers read the host list.
 const HOSTS_EVERY_MS: u64 = 1_000;
