An entry is ready once it knows the servers, and lets callers wait for the list

Ruled out: the silent server of that test; the refused call was never sent (sends 0, waited 0 ms).

Change: readiness asks for the list too; until it has been read a call waits for room as it does for a busy server.

Shown by: an_entry_without_the_list_of_servers_is_not_ready_and_lets_callers_wait.

--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -156,7 +156,8 @@
             Some(good_ms) => self.policy_is_fresh(good_ms / 2),
             None => true,
         };
-        !self.is_stopping() && self.policy().is_some() && fresh
+        let knows_all = self.policy().is_some() && self.upstreams.is_listed();
+        !self.is_stopping() && knows_all && fresh
     }
 
     /// Takes no new callers from now on.
@@ -234,7 +235,9 @@
                 break Some(seat);
             }
             let now = self.clock.now();
-            if until.has_passed_at(now) || self.upstreams.of(&job.pool.name).is_empty() {
+            let has_none = self.upstreams.is_listed()
+                && self.upstreams.of(&job.pool.name).is_empty();
+            if until.has_passed_at(now) || has_none {
                 break None;
             }
             let nap_ms = until.ms_since(now).min(LOOK_AGAIN_MS);
--- a/crates/bilberry-gateway/src/upstreams.rs
+++ b/crates/bilberry-gateway/src/upstreams.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
 use bilberry_core::Name;
@@ -17,6 +19,7 @@
 pub struct Upstreams {
     by_id: Mutex<HashMap<Name, Arc<Upstream>>>,
     by_pool: ArcSwap<HashMap<Name, Vec<Arc<Upstream>>>>,
+    listed: AtomicBool,
     /// Told whenever an upstream may have room again.
     pub changed: Arc<Notify>,
 }
@@ -47,6 +50,19 @@
         }
     }
 
+    /// Notes that the whole list has been read.
+    pub fn note_listed(&self) {
+        self.listed.store(true, Ordering::Relaxed);
+        self.changed.notify_waiters();
+    }
+
+    /// Reports whether the whole list has ever been read.
+    ///
+    /// Before that, a service without upstreams may well have some.
+    pub fn is_listed(&self) -> bool {
+        self.listed.load(Ordering::Relaxed)
+    }
+
     /// Returns the identities of all upstreams.
     pub fn ids(&self) -> Vec<Name> {
         self.by_id.lock().unwrap().keys().cloned().collect()
