--- a/crates/bilberry-core/tests/forwarding.rs
+++ b/crates/bilberry-core/tests/forwarding.rs
@@ -7,6 +7,7 @@
 use bilberry_core::EventSplitter;
 use bilberry_core::Freshness;
 use bilberry_core::LinkShare;
+use bilberry_core::NamedWeights;
 use bilberry_core::Offer;
 use bilberry_core::OldWeights;
 use bilberry_core::PeerCopy;
@@ -324,6 +325,42 @@
     assert_eq!(starts(3)[..3], [1_000, 1_530, 2_060]);
 }
 
+#[test]
+fn a_server_lacks_weights_since_the_first_naming_that_it_missed() {
+    let mut named = NamedWeights::default();
+    assert_eq!((named.newest(), named.lacking_since(0)), (None, None));
+    for (version, at) in [(7, 100), (8, 4_500), (10, 13_300)] {
+        assert!(named.note(version, UnixMs(at)));
+    }
+    assert_eq!(named.newest(), Some((10, UnixMs(13_300))));
+    let since = [6, 7, 8, 9, 10].map(|version| named.lacking_since(version));
+    let at = |ms| Some(UnixMs(ms));
+    assert_eq!(since, [at(100), at(4_500), at(13_300), at(13_300), None]);
+    // Heard again later, or late: a version was named before any newer one.
+    assert!(!named.note(8, UnixMs(20_000)));
+    assert!(named.note(9, UnixMs(20_000)));
+    assert_eq!(named.lacking_since(8), at(13_300));
+    // Heard again with an earlier time: older ones had been named by then as well.
+    assert!(!named.note(10, UnixMs(4_000)));
+    assert_eq!(named.lacking_since(7), at(4_000));
+}
+
+proptest! {
+    #[test]
+    fn who_is_further_behind_has_lacked_weights_for_longer(
+        heard in prop::collection::vec((1_u64..40, 0_u64..100_000), 1..60),
+    ) {
+        let mut named = NamedWeights::default();
+        for &(version, at) in &heard {
+            named.note(version, UnixMs(at));
+        }
+        let since: Vec<_> = (0..40).map(|version| named.lacking_since(version)).collect();
+        let known: Vec<_> = since.iter().copied().flatten().collect();
+        prop_assert!(known.is_sorted());
+        prop_assert!(since.iter().skip_while(|since| since.is_some()).all(Option::is_none));
+    }
+}
+
 #[test]
 fn a_straggling_load_does_not_delay_all_later_waves() {
     let mut rollout = Rollout::new();
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 use bilberry_core::Freshness;
 use bilberry_core::LinkShare;
 use bilberry_core::Name;
+use bilberry_core::NamedWeights;
 use bilberry_core::Offer;
 use bilberry_core::OldWeights;
 use bilberry_core::SharedBudget;
@@ -81,7 +82,7 @@
     policy: ArcSwapOption<Policy>,
     policy_fresh: Mutex<Freshness>,
     budgets: Mutex<HashMap<Name, SharedBudget>>,
-    newest: Mutex<HashMap<(Name, Name), (u64, UnixMs)>>,
+    named_weights: Mutex<HashMap<Name, NamedWeights>>,
     prompt_store_up: AtomicBool,
     stopping: AtomicBool,
 }
@@ -103,7 +104,7 @@
             policy: ArcSwapOption::empty(),
             policy_fresh: Mutex::default(),
             budgets: Mutex::default(),
-            newest: Mutex::default(),
+            named_weights: Mutex::default(),
             prompt_store_up: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
         }
@@ -278,6 +279,11 @@
             .collect();
         let upstream = upstreams.get(place(&demand, &offers)?)?.clone();
         job.weights = upstream.weights(&model, now).filter(|_| job.call.model.is_some());
+        job.lacking_ms =
+            job.weights.and_then(|version| self.lacking_ms(&model, version, now));
+        if job.lacking_ms.is_some() {
+            self.metrics.placed_on_older_weights.inc();
+        }
         let missing = demand.shared_tokens + demand.own_tokens;
         let changed = self.upstreams.changed.clone();
         Some(Seat::take(upstream, demand.memory_tokens(), missing, changed))
@@ -298,13 +304,19 @@
         now: UnixMs,
     ) -> Option<(u64, UnixMs)> {
         let version = self.upstreams.newest_weights(pool, model, now)?;
-        let mut newest = self.newest.lock().unwrap();
-        let key = (pool.clone(), model.clone());
-        let known = newest.entry(key).or_insert((version, now));
-        if known.0 < version {
-            *known = (version, now);
+        let mut named = self.named_weights.lock().unwrap();
+        let named = named.entry(model.clone()).or_default();
+        if named.note(version, now) {
+            log::info!(target: "weights", model = model.as_str(), version; "seen at an upstream");
         }
-        Some(*known)
+        named.newest()
+    }
+
+    /// Returns for how long an upstream with these weights has lacked newer ones.
+    fn lacking_ms(&self, model: &Name, version: u64, now: UnixMs) -> Option<u64> {
+        let named = self.named_weights.lock().unwrap();
+        let since = named.get(model)?.lacking_since(version)?;
+        Some(now.ms_since(since))
     }
 }
 
--- a/crates/bilberry-gateway/src/job.rs
+++ b/crates/bilberry-gateway/src/job.rs
@@ -56,6 +56,8 @@
     pub backup: Option<Arc<Upstream>>,
     /// The weights that it was sent to.
     pub weights: Option<u64>,
+    /// For how long these had lacked newer ones when it was placed.
+    pub lacking_ms: Option<u64>,
     /// How long it waited for room.
     pub waited_ms: u64,
     /// When the first byte of its answer came, after its arrival.
--- a/crates/bilberry-gateway/src/metrics.rs
+++ b/crates/bilberry-gateway/src/metrics.rs
@@ -35,6 +35,10 @@
     pub wait_seconds: Histogram,
     /// Streams that another upstream continued.
     pub resumed: Counter,
+    /// Requests that were placed on weights older than the newest known.
+    pub placed_on_older_weights: Counter,
+    /// Upstreams that the list no longer names and that are still used.
+    pub kept_upstreams: Gauge,
     /// The configuration's version in force.
     pub config_version: Gauge,
     /// Log lines that were dropped.
@@ -52,6 +56,8 @@
             first_byte_seconds: histogram(),
             wait_seconds: histogram(),
             resumed: Counter::default(),
+            placed_on_older_weights: Counter::default(),
+            kept_upstreams: Gauge::default(),
             config_version: Gauge::default(),
             dropped_lines: Counter::default(),
         };
@@ -68,6 +74,12 @@
         let wait = self.wait_seconds.clone();
         registry.register("wait_seconds", "Time waited for room", wait);
         registry.register("resumed", "Streams continued", self.resumed.clone());
+        let older = self.placed_on_older_weights.clone();
+        let help = "Requests placed on older weights";
+        registry.register("placed_on_older_weights", help, older);
+        let kept = self.kept_upstreams.clone();
+        let help = "Upstreams in use that the list no longer names";
+        registry.register("kept_upstreams", help, kept);
         let version = self.config_version.clone();
         registry.register("config_version", "Configuration in force", version);
         let dropped = self.dropped_lines.clone();
--- a/crates/bilberry-gateway/src/record.rs
+++ b/crates/bilberry-gateway/src/record.rs
@@ -59,6 +59,7 @@
         sends = job.sends,
         detail = job.detail.as_str(),
         weights = job.weights.unwrap_or_default(),
+        lacking_ms = job.lacking_ms.unwrap_or_default(),
         waited_ms = job.waited_ms,
         first_byte_ms = job.first_byte_ms.unwrap_or_default(),
         total_ms = now.ms_since(job.arrived_at),
--- a/crates/bilberry-steward/src/metrics.rs
+++ b/crates/bilberry-steward/src/metrics.rs
@@ -26,6 +26,8 @@
     registry: Mutex<Registry>,
     /// Orders to load weights, by what the engine said.
     pub orders: Family<OrderLabel, Counter>,
+    /// Loads of weights that were planned, or planned anew.
+    pub plans: Counter,
     /// How long loads of weights took.
     pub load_seconds: Histogram,
     /// Questions that the engine left unanswered.
@@ -46,6 +48,7 @@
         let metrics = Self {
             registry: Mutex::new(Registry::with_prefix("bilberry")),
             orders: Family::default(),
+            plans: Counter::default(),
             load_seconds: Histogram::new(LOAD_BOUNDS_S),
             unanswered: Counter::default(),
             engine_up: Gauge::default(),
@@ -60,6 +63,8 @@
     fn register(&self) {
         let mut registry = self.registry.lock().unwrap();
         registry.register("orders", "Orders to load weights", self.orders.clone());
+        let plans = self.plans.clone();
+        registry.register("load_plans", "Loads planned or planned anew", plans);
         let loads = self.load_seconds.clone();
         registry.register("load_seconds", "How long loads took", loads);
         let unanswered = self.unanswered.clone();
--- a/crates/bilberry-steward/src/steward.rs
+++ b/crates/bilberry-steward/src/steward.rs
@@ -74,9 +74,17 @@
     rollout: Rollout,
     unanswered: u32,
     ordered: Option<Ordered>,
+    planned: Option<Planned>,
     not_before: UnixMs,
 }
 
+/// A load that was planned.
+#[derive(Debug, PartialEq, Eq)]
+struct Planned {
+    version: u64,
+    starts_at: UnixMs,
+}
+
 /// An order that was given.
 #[derive(Debug)]
 struct Ordered {
@@ -160,6 +168,7 @@
     async fn step(&self, report: &EngineReport, progress: &mut Progress) {
         let now = self.clock.now();
         let due = self.due(report, progress);
+        self.note_plan(report, due.as_ref(), progress, now);
         let loading = report.busy || due.as_ref().is_some_and(|due| due.is_near(now));
         self.metrics.engine_up.set(1);
         self.metrics.running.set(report.running as i64);
@@ -191,12 +200,44 @@
                 let weights = ModelVersion { model: has.model.clone(), version };
                 let planned = progress.rollout.starts_at(named_at, self.newest.place());
                 let starts_at = planned.max(progress.not_before);
-                Due { weights, starts_at, named_at }
+                Due { weights, planned_at: planned, starts_at, named_at }
             })
         };
         report.models.iter().find_map(lacking)
     }
 
+    /// Logs when a load was planned, and when it was planned anew.
+    fn note_plan(
+        &self,
+        report: &EngineReport,
+        due: Option<&Due>,
+        progress: &mut Progress,
+        now: UnixMs,
+    ) {
+        let planned = due.map(|due| Planned {
+            version: due.weights.version,
+            starts_at: due.planned_at,
+        });
+        if planned == progress.planned {
+            return;
+        }
+        if let Some(planned) = &planned {
+            let place = self.newest.place();
+            self.metrics.plans.inc();
+            log::info!(
+                target: "weights",
+                version = planned.version,
+                has = report.models.iter().map(|has| has.version).max().unwrap_or_default(),
+                in_ms = planned.starts_at.ms_since(now),
+                position = place.position as u64,
+                servers = place.servers as u64,
+                down = place.down as u64;
+                "load planned"
+            );
+        }
+        progress.planned = planned;
+    }
+
     fn note_loaded(&self, report: &EngineReport, progress: &mut Progress, now: UnixMs) {
         let has = |version: u64| report.models.iter().any(|m| m.version >= version);
         let done = progress.ordered.as_ref().filter(|o| !report.busy && has(o.version));
@@ -258,6 +299,9 @@
 #[derive(Debug)]
 struct Due {
     weights: ModelVersion,
+    /// When its turn comes.
+    planned_at: UnixMs,
+    /// The same, unless an order that failed has to be waited for.
     starts_at: UnixMs,
     named_at: UnixMs,
 }
