A server that is missing after an outage is given up at its time

Cause: the time for which it is kept was looked at only when a watch ended, up to two seconds late, and began anew with each list and each failed call. In the kept output a server was given up 4.0 s after the store was back, where 2.2 s are meant; in the record requests reached one 2.6 s after the entry was ready again. Ruled out: a stale page or a kept connection bring nothing back (no such line, and the test fails without either).

--- a/crates/bilberryd/src/hosted.rs
+++ b/crates/bilberryd/src/hosted.rs
@@ -143,7 +143,8 @@
     let store = ObjectStore::new(settings.store);
     let config = ConfigFollower { gateway: gateway.clone() };
     tokio::spawn(follow(store.clone(), clock, config));
-    let hosts = HostsFollower::new(gateway.clone(), settings.drain_ms);
+    let hosts =
+        HostsFollower::new(gateway.clone(), settings.drain_ms, settings.heartbeat_ms);
     tokio::spawn(follow(store, clock, hosts));
     tokio::spawn(follow_sidecars(gateway.clone(), settings.peers_port));
     tokio::spawn(follow_prompt_store(gateway.clone()));
