Older weights are judged by the first naming that a server missed

Cause: the bound on older weights counted from the newest version, so each naming started it anew. With a naming every 4.4 s and a bound that acts after 6 s it never acted; in the record a request began on 7, 9.3 s after 8 was named, 0.5 s after 10 was. Ruled out as the only cause: a server that no order reached (it makes the fault show; a server that can't load must get no work all the same). Change: known versions are kept with their times; each server is judged by the first one that it lacks. The judgement stands with the offer in place of the demand, so servers that are one and three versions behind are no longer judged alike.

--- a/crates/bilberry-core/src/lib.rs
+++ b/crates/bilberry-core/src/lib.rs
@@ -66,7 +66,7 @@
 pub use outcome::RunState;
 pub use placement::Demand;
 pub use placement::Offer;
-pub use placement::OldWeights;
+pub use placement::Weights;
 pub use placement::part_key;
 pub use placement::place;
 pub use queue::FairQueue;
--- a/crates/bilberry-core/src/placement.rs
+++ b/crates/bilberry-core/src/placement.rs
@@ -61,28 +61,32 @@
 /// work on it: twice what a start on older weights costs.
 const CUT_BY_LOAD_COST_TOKENS: u64 = 16_000;
 
-/// Whether older weights may still serve a request.
+/// Whether an upstream's weights may still serve a request.
 #[derive(Debug, Copy, Clone, Default, PartialEq, Eq)]
-pub enum OldWeights {
-    /// As well as the newest.
+pub enum Weights {
+    /// They are the newest, or as good.
     #[default]
     Fine,
-    /// At a cost.
+    /// They are older, at a cost.
     Costly,
-    /// No longer.
+    /// They are older, and nothing may begin on them any more.
     Barred,
 }
 
-impl OldWeights {
-    /// Returns what counts once newer weights have been known for `age_ms`, where
-    /// nothing may begin on older ones after `bound_ms`.
-    pub fn at_age(age_ms: u64, bound_ms: Option<u64>) -> Self {
+impl Weights {
+    /// Judges weights that have lacked newer ones for `lacking_ms`, where nothing may
+    /// begin on older ones after `bound_ms`.
+    ///
+    /// What counts is the first naming that the upstream missed. Judged by the newest
+    /// one, older weights were never barred where namings came faster than the bound.
+    pub fn lacking(lacking_ms: Option<u64>, bound_ms: Option<u64>) -> Self {
         let barred_from =
             bound_ms.map(|bound_ms| bound_ms.saturating_sub(OLD_WEIGHTS_MARGIN_MS));
-        match age_ms {
-            _ if barred_from.is_some_and(|from_ms| age_ms >= from_ms) => Self::Barred,
-            age_ms if age_ms >= OLD_WEIGHTS_COST_FROM_MS => Self::Costly,
-            _ => Self::Fine,
+        match lacking_ms {
+            None => Self::Fine,
+            Some(ms) if barred_from.is_some_and(|from_ms| ms >= from_ms) => Self::Barred,
+            Some(ms) if ms >= OLD_WEIGHTS_COST_FROM_MS => Self::Costly,
+            Some(_) => Self::Fine,
         }
     }
 }
@@ -106,8 +110,8 @@
     pub running: u64,
     /// Requests that wait there.
     pub queued: u64,
-    /// Whether its weights are the newest that are known.
-    pub newest_weights: bool,
+    /// Whether its weights may still serve the request.
+    pub weights: Weights,
     /// Shared tokens of the request that it is known to hold.
     pub held_tokens: u64,
     /// In how many milliseconds it begins to load weights, if that is planned.
@@ -131,8 +135,6 @@
     pub body_bytes: u64,
     /// Whether a store can supply shared parts that an upstream lacks.
     pub can_fetch: bool,
-    /// Whether older weights may still serve it.
-    pub old_weights: OldWeights,
 }
 
 impl Demand {
@@ -151,8 +153,7 @@
 }
 
 fn fits(demand: &Demand, offer: &Offer) -> bool {
-    let barred = demand.old_weights == OldWeights::Barred && !offer.newest_weights;
-    !barred
+    offer.weights != Weights::Barred
         && offer.usable
         && offer.free_slots > 0
         && offer.free_tokens >= demand.memory_tokens()
@@ -168,9 +169,9 @@
         true => 0,
         false => (1 + demand.body_bytes / 1_024) * CROSSING_COST_TOKENS_PER_KB,
     };
-    let old = match demand.old_weights {
-        OldWeights::Costly if !offer.newest_weights => OLD_WEIGHTS_COST_TOKENS,
-        _ => 0,
+    let old = match offer.weights {
+        Weights::Fine => 0,
+        Weights::Costly | Weights::Barred => OLD_WEIGHTS_COST_TOKENS,
     };
     missing
         + crossing
--- a/crates/bilberry-core/tests/forwarding.rs
+++ b/crates/bilberry-core/tests/forwarding.rs
@@ -9,7 +9,6 @@
 use bilberry_core::LinkShare;
 use bilberry_core::NamedWeights;
 use bilberry_core::Offer;
-use bilberry_core::OldWeights;
 use bilberry_core::PeerCopy;
 use bilberry_core::Rollout;
 use bilberry_core::RolloutPlace;
@@ -17,6 +16,7 @@
 use bilberry_core::Source;
 use bilberry_core::Transfer;
 use bilberry_core::UnixMs;
+use bilberry_core::Weights;
 use bilberry_core::choose_source;
 use bilberry_core::part_key;
 use bilberry_core::place;
@@ -29,7 +29,6 @@
         same_place: true,
         free_slots: 40,
         free_tokens: 100_000,
-        newest_weights: true,
         ..Offer::default()
     }
 }
@@ -43,7 +42,6 @@
         answer_ms: 500,
         body_bytes: 18_000,
         can_fetch: true,
-        old_weights: OldWeights::Fine,
     }
 }
 
@@ -91,15 +89,14 @@
     // have them. An answer on older ones loses a part of its worth, a late one
     // nearly all, so the newest win only while they are not much busier.
     let mut offers = vec![offer(1), offer(2), offer(3)];
-    offers[0].newest_weights = false;
-    offers[1].newest_weights = false;
-    let costly = Demand { old_weights: OldWeights::Costly, ..demand() };
-    assert_eq!(place(&costly, &offers), Some(2));
+    offers[0].weights = Weights::Costly;
+    offers[1].weights = Weights::Costly;
+    assert_eq!(place(&demand(), &offers), Some(2));
     offers[2].running = 10;
     offers[2].pending_tokens = 4_000;
-    assert_eq!(place(&costly, &offers), Some(2));
+    assert_eq!(place(&demand(), &offers), Some(2));
     offers[2].pending_tokens = 20_000;
-    assert!(place(&costly, &offers).is_some_and(|at| at < 2));
+    assert!(place(&demand(), &offers).is_some_and(|at| at < 2));
 }
 
 #[test]
@@ -129,15 +126,15 @@
     // A server that does not load, for whatever reason, gets no more work, even
     // where no other has room: what it answers no longer counts.
     let mut offers = vec![offer(1), offer(2)];
-    offers[0].newest_weights = false;
+    offers[0].weights = Weights::Barred;
     offers[1].free_slots = 0;
-    let barred = Demand { old_weights: OldWeights::Barred, ..demand() };
-    assert_eq!(place(&barred, &offers), None);
+    assert_eq!(place(&demand(), &offers), None);
     let ages = [0, 700, 900, 5_900, 6_100];
-    let at_ages = ages.map(|age_ms| OldWeights::at_age(age_ms, Some(8_000)));
-    use OldWeights::*;
+    let at_ages = ages.map(|age_ms| Weights::lacking(Some(age_ms), Some(8_000)));
+    use Weights::*;
     assert_eq!(at_ages, [Fine, Fine, Costly, Costly, Barred]);
-    assert_eq!(OldWeights::at_age(60_000, None), Costly);
+    assert_eq!(Weights::lacking(Some(60_000), None), Costly);
+    assert_eq!(Weights::lacking(None, Some(0)), Fine);
 }
 
 #[test]
@@ -345,6 +342,24 @@
     assert_eq!(named.lacking_since(7), at(4_000));
 }
 
+#[test]
+fn namings_in_a_row_give_older_weights_no_more_time() {
+    // New weights are named every 4.4 s, nothing may begin on older ones after 8 s.
+    // A server that has missed one naming is barred in time, however often newer
+    // weights are named meanwhile; one that took the last but one is not.
+    let mut named = NamedWeights::default();
+    for version in 8..=10 {
+        named.note(version, UnixMs(58_523 + (version - 8) * 4_400));
+    }
+    let now = UnixMs(67_842);
+    let judged = [7, 8, 9, 10].map(|version| {
+        let lacking_ms = named.lacking_since(version).map(|since| now.ms_since(since));
+        Weights::lacking(lacking_ms, Some(8_000))
+    });
+    use Weights::*;
+    assert_eq!(judged, [Barred, Costly, Fine, Fine]);
+}
+
 proptest! {
     #[test]
     fn who_is_further_behind_has_lacked_weights_for_longer(
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -13,12 +13,11 @@
 use bilberry_core::Freshness;
 use bilberry_core::LinkShare;
 use bilberry_core::Name;
-use bilberry_core::NamedWeights;
 use bilberry_core::Offer;
-use bilberry_core::OldWeights;
 use bilberry_core::SharedBudget;
 use bilberry_core::Transfer;
 use bilberry_core::UnixMs;
+use bilberry_core::Weights;
 use bilberry_core::part_key;
 use bilberry_core::place;
 use bilberry_wire::CacheChange;
@@ -30,6 +29,7 @@
 use crate::GatewayMetrics;
 use crate::Job;
 use crate::KeptParts;
+use crate::KnownWeights;
 use crate::LineBudget;
 use crate::Pace;
 use crate::Policy;
@@ -76,13 +76,14 @@
     pub metrics: GatewayMetrics,
     /// What the store of kept prompts should have.
     pub kept: KeptParts,
+    /// The weights that were named.
+    pub weights: KnownWeights,
     pub(crate) pace: Pace,
     store_link: Mutex<LinkShare>,
     pub(crate) lines: LineBudget,
     policy: ArcSwapOption<Policy>,
     policy_fresh: Mutex<Freshness>,
     budgets: Mutex<HashMap<Name, SharedBudget>>,
-    named_weights: Mutex<HashMap<Name, NamedWeights>>,
     prompt_store_up: AtomicBool,
     stopping: AtomicBool,
 }
@@ -98,13 +99,13 @@
             upstreams: Upstreams::default(),
             metrics: GatewayMetrics::new(),
             kept: KeptParts::default(),
+            weights: KnownWeights::default(),
             pace: Pace::default(),
             store_link: Mutex::default(),
             lines: LineBudget::default(),
             policy: ArcSwapOption::empty(),
             policy_fresh: Mutex::default(),
             budgets: Mutex::default(),
-            named_weights: Mutex::default(),
             prompt_store_up: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
         }
@@ -254,12 +255,9 @@
         let now = self.clock.now();
         let upstreams = self.upstreams.of(&job.pool.name);
         let model = job.call.model.clone().unwrap_or_default();
-        let newest = self.newest_weights(&job.pool.name, &model, now);
-        let age_ms = newest.map_or(0, |(_, since)| now.ms_since(since));
-        let old_weights = OldWeights::at_age(age_ms, self.settings.weights_bound_ms);
+        self.note_weights_seen(&job.pool.name, &model, now);
         let can_fetch = self.prompt_store().is_some();
-        let demand =
-            job.demand(can_fetch, old_weights, self.pace.token_us(&job.pool.name));
+        let demand = job.demand(can_fetch, self.pace.token_us(&job.pool.name));
         // Most upstreams have the same weights, and so the same salt.
         let mut salts: HashMap<u64, String> = HashMap::new();
         let offers: Vec<Offer> = upstreams
@@ -269,7 +267,9 @@
                     upstream.offer(now, &self.settings.place, job.pool.engine);
                 offer.usable &= !job.tried.contains(&upstream.id);
                 let weights = upstream.weights(&model, now);
-                offer.newest_weights = weights == newest.map(|(version, _)| version);
+                let lacking_ms = self.weights.lacking_ms(&model, weights, now);
+                offer.weights =
+                    Weights::lacking(lacking_ms, self.settings.weights_bound_ms);
                 if let Some(version) = weights {
                     let salt = salts.entry(version).or_insert_with(|| job.salt(version));
                     offer.held_tokens = held_tokens(upstream, salt, &job.call, now);
@@ -279,8 +279,7 @@
             .collect();
         let upstream = upstreams.get(place(&demand, &offers)?)?.clone();
         job.weights = upstream.weights(&model, now).filter(|_| job.call.model.is_some());
-        job.lacking_ms =
-            job.weights.and_then(|version| self.lacking_ms(&model, version, now));
+        job.lacking_ms = self.weights.lacking_ms(&model, job.weights, now);
         if job.lacking_ms.is_some() {
             self.metrics.placed_on_older_weights.inc();
         }
@@ -296,27 +295,16 @@
         change.added.iter().for_each(|&key| self.kept.note(key, now));
     }
 
-    /// Returns the newest weights of a model, and since when they are known.
-    fn newest_weights(
-        &self,
-        pool: &Name,
-        model: &Name,
-        now: UnixMs,
-    ) -> Option<(u64, UnixMs)> {
-        let version = self.upstreams.newest_weights(pool, model, now)?;
-        let mut named = self.named_weights.lock().unwrap();
-        let named = named.entry(model.clone()).or_default();
-        if named.note(version, now) {
+    /// Notes the newest weights that any upstream has.
+    ///
+    /// They have been named, whether or not this entry could hear of it.
+    fn note_weights_seen(&self, pool: &Name, model: &Name, now: UnixMs) {
+        let Some(version) = self.upstreams.newest_weights(pool, model, now) else {
+            return;
+        };
+        if self.weights.note(model, version, now) {
             log::info!(target: "weights", model = model.as_str(), version; "seen at an upstream");
         }
-        named.newest()
-    }
-
-    /// Returns for how long an upstream with these weights has lacked newer ones.
-    fn lacking_ms(&self, model: &Name, version: u64, now: UnixMs) -> Option<u64> {
-        let named = self.named_weights.lock().unwrap();
-        let since = named.get(model)?.lacking_since(version)?;
-        Some(now.ms_since(since))
     }
 }
 
--- a/crates/bilberry-gateway/src/job.rs
+++ b/crates/bilberry-gateway/src/job.rs
@@ -4,7 +4,6 @@
 
 use bilberry_core::Demand;
 use bilberry_core::Name;
-use bilberry_core::OldWeights;
 use bilberry_core::UnixMs;
 use bytes::Bytes;
 use hyper::HeaderMap;
@@ -73,12 +72,7 @@
     }
 
     /// Returns what the request asks of an upstream.
-    pub fn demand(
-        &self,
-        can_fetch: bool,
-        old_weights: OldWeights,
-        token_us: u64,
-    ) -> Demand {
+    pub fn demand(&self, can_fetch: bool, token_us: u64) -> Demand {
         let shared_tokens = self.call.shared_tokens();
         let part = self.call.shared_parts().last().map(|part| part.id);
         // Without a shared prompt any upstream will do; the attempt spreads them.
@@ -91,7 +85,6 @@
             answer_ms: self.call.output_tokens * token_us / 1_000,
             body_bytes: self.body.len() as u64,
             can_fetch,
-            old_weights,
         }
     }
 
--- a/crates/bilberry-gateway/src/lib.rs
+++ b/crates/bilberry-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod serve;
 mod upstream;
 mod upstreams;
+mod weights;
 
 pub use call::BadCall;
 pub use call::Call;
@@ -57,3 +58,4 @@
 pub use upstream::Seat;
 pub use upstream::Upstream;
 pub use upstreams::Upstreams;
+pub use weights::KnownWeights;
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -8,6 +8,7 @@
 use bilberry_core::Name;
 use bilberry_core::Offer;
 use bilberry_core::UnixMs;
+use bilberry_core::Weights;
 use bilberry_wire::CacheChange;
 use bilberry_wire::UpstreamState;
 use tokio::sync::watch;
@@ -297,7 +298,7 @@
             pending_tokens: live.pending_tokens,
             running: present,
             queued,
-            newest_weights: true,
+            weights: Weights::Fine,
             held_tokens: 0,
             loads_in_ms: live.loads_at.map(|at| at.ms_since(now)),
         }
