An engine's turn to load counts from the first naming that it missed

Cause: each naming started the order of turns anew. An engine late in the order that missed a turn had none while namings went on: two of nine engines were never ordered the weights named in between, and in the record an engine that crashed before its turn stayed two versions behind for five seconds and more. Change: the turn counts from the first weights that the engine lacks; it loads the newest. The test that failed (two of six engines on version 1 when 6 is named) passes.

--- a/crates/bilberry-steward/src/newest.rs
+++ b/crates/bilberry-steward/src/newest.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 
 use bilberry_core::Name;
+use bilberry_core::NamedWeights;
 use bilberry_core::RolloutPlace;
 use bilberry_core::UnixMs;
 use bilberry_wire::EntryNotice;
@@ -16,7 +17,7 @@
 
 #[derive(Debug, Default)]
 struct Heard {
-    weights: HashMap<Name, (u64, UnixMs)>,
+    weights: HashMap<Name, NamedWeights>,
     place: Option<RolloutPlace>,
 }
 
@@ -24,10 +25,7 @@
     /// Notes that weights exist; older ones change nothing.
     pub fn hear(&self, model: &str, version: u64, now: UnixMs) {
         let mut heard = self.heard.lock().unwrap();
-        let known = heard.weights.entry(model.into()).or_insert((version, now));
-        if known.0 < version {
-            *known = (version, now);
-        }
+        heard.weights.entry(model.into()).or_default().note(version, now);
     }
 
     /// Takes over what an entry knows.
@@ -44,9 +42,13 @@
         self.heard.lock().unwrap().place = Some(RolloutPlace { position, servers, down });
     }
 
-    /// Returns the newest version of a model's weights, and since when it is known.
-    pub fn of(&self, model: &str) -> Option<(u64, UnixMs)> {
-        self.heard.lock().unwrap().weights.get(model).copied()
+    /// Returns the version that an engine with these weights is to load, and since
+    /// when it has lacked newer ones.
+    pub fn lacking(&self, model: &str, version: u64) -> Option<(u64, UnixMs)> {
+        let heard = self.heard.lock().unwrap();
+        let weights = heard.weights.get(model)?;
+        let since = weights.lacking_since(version)?;
+        weights.newest().map(|(newest, _)| (newest, since))
     }
 
     /// Returns the engine's place among those of its service.
--- a/crates/bilberry-steward/src/steward.rs
+++ b/crates/bilberry-steward/src/steward.rs
@@ -193,15 +193,17 @@
     }
 
     /// Returns the load that the engine still lacks.
+    ///
+    /// Its turn counts from the first naming that it missed, and it takes the newest
+    /// weights then. With turns that began anew at each naming, an engine late in the
+    /// order had none for as long as weights were named faster than a rollout takes.
     fn due(&self, report: &EngineReport, progress: &Progress) -> Option<Due> {
         let lacking = |has: &ModelVersion| {
-            let (version, named_at) = self.newest.of(&has.model)?;
-            (version > has.version).then(|| {
-                let weights = ModelVersion { model: has.model.clone(), version };
-                let planned = progress.rollout.starts_at(named_at, self.newest.place());
-                let starts_at = planned.max(progress.not_before);
-                Due { weights, planned_at: planned, starts_at, named_at }
-            })
+            let (version, since) = self.newest.lacking(&has.model, has.version)?;
+            let weights = ModelVersion { model: has.model.clone(), version };
+            let planned_at = progress.rollout.starts_at(since, self.newest.place());
+            let starts_at = planned_at.max(progress.not_before);
+            Some(Due { weights, planned_at, starts_at, lacking_since: since })
         };
         report.models.iter().find_map(lacking)
     }
@@ -276,7 +278,7 @@
             version = due.weights.version,
             expected = report.orders,
             running = report.running,
-            since_named_ms = now.ms_since(due.named_at);
+            lacking_ms = now.ms_since(due.lacking_since);
             "order {outcome}"
         );
         progress.not_before = now.plus_ms(pause_ms);
@@ -303,7 +305,8 @@
     planned_at: UnixMs,
     /// The same, unless an order that failed has to be waited for.
     starts_at: UnixMs,
-    named_at: UnixMs,
+    /// When the first weights were named that the engine lacks.
+    lacking_since: UnixMs,
 }
 
 impl Due {
