Entries judge weights by what the store names, also where no server runs it

Cause: an entry took the newest version that some server has for the newest there is, and counted from when it first saw it, or from its own start. With all sidecars dark nothing was barred. Change: entries follow the versions in the store; the time of a naming is bounded by the last answer before it; all upstreams barred and none loading means a refusal at once; sidecars that are cut off hear what was named and not only what runs; a copy of a run is not gone on from on weights that are barred.

--- a/crates/bilberry-core/src/placement.rs
+++ b/crates/bilberry-core/src/placement.rs
@@ -44,16 +44,16 @@
 
 /// From which age of newer weights on older ones cost.
 ///
-/// Answers on older weights lose worth after about one and a half seconds. An
-/// entry hears of new weights when the first server has them, half a second after
-/// they were named, and an answer begins some hundred milliseconds later.
-const OLD_WEIGHTS_COST_FROM_MS: u64 = 800;
+/// Answers on older weights lose worth after about one and a half seconds, and one
+/// begins some hundred milliseconds after it was placed. Earlier, the first servers
+/// that have the new weights are crowded.
+const OLD_WEIGHTS_COST_FROM_MS: u64 = 1_300;
 
 /// How much sooner than its bound older weights are given up.
 ///
-/// Covers what an entry hears late of new weights, and the wait of a request at
-/// its server.
-const OLD_WEIGHTS_MARGIN_MS: u64 = 2_000;
+/// Covers what an entry hears late of a naming, some milliseconds, and the wait of a
+/// request at its server.
+const OLD_WEIGHTS_MARGIN_MS: u64 = 1_500;
 
 /// What it costs a request to run wholly past a load of weights, in prompt tokens.
 ///
@@ -89,6 +89,18 @@
             Some(_) => Self::Fine,
         }
     }
+
+    /// Returns for how long weights that a process finds named at its start are taken
+    /// to have been named.
+    ///
+    /// Nobody tells when it was. Counted from the start, older weights would serve for
+    /// the whole bound once more; barred at the start, a restart amid a naming would
+    /// leave no server for seconds. So they are barred once the process has settled,
+    /// before which it is not held to the bound.
+    pub fn assumed_lacking_ms(bound_ms: Option<u64>, settle_ms: u64) -> u64 {
+        let bound_ms = bound_ms.unwrap_or_default();
+        bound_ms.saturating_sub(OLD_WEIGHTS_MARGIN_MS).saturating_sub(settle_ms)
+    }
 }
 
 /// What is known of one upstream when a request is to be placed.
--- a/crates/bilberry-gateway/src/backup.rs
+++ b/crates/bilberry-gateway/src/backup.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use bilberry_core::Clock;
+use bilberry_core::Weights;
 use hyper::StatusCode;
 
 use crate::CallKind;
@@ -55,7 +56,10 @@
         last_event: Option<u64>,
     ) -> Option<Answer> {
         let backup = job.backup.take()?;
-        if backup.is_leaving() || !self.may_repeat(&job.pool.name) {
+        let model = job.call.model.as_deref().unwrap_or_default();
+        let barred =
+            self.judge_weights(&backup, model, self.clock.now()) == Weights::Barred;
+        if barred || backup.is_leaving() || !self.may_repeat(&job.pool.name) {
             return None;
         }
         let changed = self.upstreams.changed.clone();
--- a/crates/bilberry-gateway/src/feeds.rs
+++ b/crates/bilberry-gateway/src/feeds.rs
@@ -147,12 +147,10 @@
     // data centre away at once.
     let before = peers.iter().filter(|peer| peer.seed < upstream.seed).count();
     let down = peers.iter().filter(|peer| peer.is_down(now)).count();
-    let newest = |(model, _): (Name, u64)| ModelVersion {
-        version: gateway
-            .upstreams
-            .newest_weights(&upstream.pool, &model, now)
-            .unwrap_or_default(),
-        model: model.to_string(),
+    let newest = |(model, _): (Name, u64)| {
+        gateway.note_weights_seen(&upstream.pool, &model, now);
+        let version = gateway.weights.newest(&model).unwrap_or_default();
+        ModelVersion { version, model: model.to_string() }
     };
     EntryNotice {
         position: before as u64,
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -234,13 +234,16 @@
             // Asked for before the look, so that no change in between is missed.
             let changed = self.upstreams.changed.notified();
             if let Some(seat) = self.try_seat(job) {
-                break Some(seat);
+                break Ok(seat);
             }
             let now = self.clock.now();
             let has_none = self.upstreams.is_listed()
                 && self.upstreams.of(&job.pool.name).is_empty();
             if until.has_passed_at(now) || has_none {
-                break None;
+                break Err(Refusal::NoRoom);
+            }
+            if self.awaits_weights(job, now) {
+                break Err(Refusal::NoWeights);
             }
             let nap_ms = until.ms_since(now).min(LOOK_AGAIN_MS);
             let _ = timeout(Duration::from_millis(nap_ms), changed).await;
@@ -248,7 +251,33 @@
         let waited_ms = self.clock.now().ms_since(began);
         job.waited_ms += waited_ms;
         self.metrics.wait_seconds.observe(waited_ms as f64 / 1_000.0);
-        seat.ok_or(Refusal::NoRoom)
+        seat
+    }
+
+    /// Reports whether all upstreams have weights that are too old, and none of them
+    /// is known to load newer ones.
+    ///
+    /// A request that waited for them would be refused in the end.
+    fn awaits_weights(&self, job: &Job, now: UnixMs) -> bool {
+        let Some(model) = &job.call.model else { return false };
+        let upstreams = self.upstreams.of(&job.pool.name);
+        let mut staying = upstreams.iter().filter(|upstream| !upstream.is_leaving());
+        staying.all(|upstream| {
+            self.judge_weights(upstream, model, now) == Weights::Barred
+                && !upstream.loads_soon(now)
+        })
+    }
+
+    /// Judges whether an upstream's weights may still serve.
+    pub(crate) fn judge_weights(
+        &self,
+        upstream: &Upstream,
+        model: &str,
+        now: UnixMs,
+    ) -> Weights {
+        let lacking_ms =
+            self.weights.lacking_ms(model, upstream.weights(model, now), now);
+        Weights::lacking(lacking_ms, self.settings.weights_bound_ms)
     }
 
     fn try_seat(&self, job: &mut Job) -> Option<Seat> {
@@ -266,11 +295,8 @@
                 let mut offer =
                     upstream.offer(now, &self.settings.place, job.pool.engine);
                 offer.usable &= !job.tried.contains(&upstream.id);
-                let weights = upstream.weights(&model, now);
-                let lacking_ms = self.weights.lacking_ms(&model, weights, now);
-                offer.weights =
-                    Weights::lacking(lacking_ms, self.settings.weights_bound_ms);
-                if let Some(version) = weights {
+                offer.weights = self.judge_weights(upstream, &model, now);
+                if let Some(version) = upstream.weights(&model, now) {
                     let salt = salts.entry(version).or_insert_with(|| job.salt(version));
                     offer.held_tokens = held_tokens(upstream, salt, &job.call, now);
                 }
@@ -298,7 +324,7 @@
     /// Notes the newest weights that any upstream has.
     ///
     /// They have been named, whether or not this entry could hear of it.
-    fn note_weights_seen(&self, pool: &Name, model: &Name, now: UnixMs) {
+    pub(crate) fn note_weights_seen(&self, pool: &Name, model: &Name, now: UnixMs) {
         let Some(version) = self.upstreams.newest_weights(pool, model, now) else {
             return;
         };
--- a/crates/bilberry-gateway/src/refusal.rs
+++ b/crates/bilberry-gateway/src/refusal.rs
@@ -42,6 +42,9 @@
     /// No upstream has room in time.
     #[error("no upstream has room; come back as told")]
     NoRoom,
+    /// No upstream has the weights that were named.
+    #[error("no upstream has the newest weights yet; come back as told")]
+    NoWeights,
     /// The time was over before the request reached an upstream.
     #[error("the time was over before an upstream took the request; allow more")]
     TooLate,
@@ -69,9 +72,11 @@
             Self::LargeBody(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
-            Self::NotReady | Self::KeysUnsure | Self::NoRoom | Self::TooLate => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotReady
+            | Self::KeysUnsure
+            | Self::NoRoom
+            | Self::NoWeights
+            | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unanswered => StatusCode::BAD_GATEWAY,
             Self::Expired => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -94,6 +99,7 @@
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::NoRoom => "no_room",
+            Self::NoWeights => "no_weights",
             Self::TooLate => "too_late",
             Self::Unanswered => "unanswered",
             Self::Expired => "expired",
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -188,7 +188,10 @@
     fn refuse(&self, job: &Job, refusal: &Refusal) -> Response<OutBody> {
         self.conclude(job, refusal.code());
         let left_ms = job.deadline.ms_since(self.clock.now());
-        refusal.answer(come_back_ms(left_ms))
+        refusal.answer(match refusal {
+            Refusal::NoWeights => come_back_late_ms(left_ms),
+            _ => come_back_ms(left_ms),
+        })
     }
 }
 
@@ -201,6 +204,15 @@
     rand::random_range(least.min(most)..=most)
 }
 
+/// Returns when a caller may come back for whom no upstream has the weights.
+///
+/// Nobody is known to load them, so it comes back as late as callers follow the
+/// advice: a caller returns once, and early it would be refused once more.
+fn come_back_late_ms(left_ms: u64) -> u64 {
+    let most = (left_ms / COME_BACK_PART).max(1);
+    rand::random_range(most / 2..=most)
+}
+
 fn head_bytes(head: &Parts) -> usize {
     let line = head.uri.path_and_query().map_or(0, |path| path.as_str().len());
     let headers = head.headers.iter();
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -310,6 +310,13 @@
         live.leaving || live.fresh_feed(now).is_some_and(|state| !state.up)
     }
 
+    /// Reports whether its sidecar says that it loads weights, or is about to.
+    pub fn loads_soon(&self, now: UnixMs) -> bool {
+        let live = self.live.lock().unwrap();
+        let planned = live.loads_at.is_some();
+        live.fresh_feed(now).is_some_and(|state| state.up && (state.loading || planned))
+    }
+
     /// Reports whether its sidecar spoke lately.
     pub fn is_followed(&self, now: UnixMs) -> bool {
         self.live.lock().unwrap().fresh_feed(now).is_some()
--- a/crates/bilberry-wire/src/feed.rs
+++ b/crates/bilberry-wire/src/feed.rs
@@ -57,7 +57,7 @@
     /// How many upstreams the service has.
     #[prost(uint64, tag = "2")]
     pub servers: u64,
-    /// The newest weights that any upstream of the service has.
+    /// The newest weights of the service's models that the entry knows of.
     #[prost(message, repeated, tag = "3")]
     pub newest: Vec<ModelVersion>,
     /// How many upstreams of the service are down.
--- a/crates/bilberryd/src/hosted.rs
+++ b/crates/bilberryd/src/hosted.rs
@@ -11,6 +11,7 @@
 use bilberry_adapter::HostSettings;
 use bilberry_adapter::HostsFollower;
 use bilberry_adapter::HttpEngine;
+use bilberry_adapter::NamedWeightsFollower;
 use bilberry_adapter::ObjectStore;
 use bilberry_adapter::PlatformDialect;
 use bilberry_adapter::WeightsFollower;
@@ -145,7 +146,9 @@
     tokio::spawn(follow(store.clone(), clock, config));
     let hosts =
         HostsFollower::new(gateway.clone(), settings.drain_ms, settings.heartbeat_ms);
-    tokio::spawn(follow(store, clock, hosts));
+    tokio::spawn(follow(store.clone(), clock, hosts));
+    let weights = NamedWeightsFollower::new(gateway.clone(), settings.settle_ms);
+    tokio::spawn(follow(store, clock, weights));
     tokio::spawn(follow_sidecars(gateway.clone(), settings.peers_port));
     tokio::spawn(follow_prompt_store(gateway.clone()));
     let listener = bind("callers", callers).await?;
