A rollout ends within half the bound on older weights, whoever is down

Cause: the width of a wave shrinks by the engines that are down; with a third of 44 down it is one, and the last turn came 38 s after the naming. Found while looking for other reasons why an engine stays on older weights. Change: as many engines to a wave as are needed for the last one to start within half the bound. Test of the decision added.

--- a/crates/bilberry-core/src/rollout.rs
+++ b/crates/bilberry-core/src/rollout.rs
@@ -22,6 +22,13 @@
 /// A load that was measured among stragglers must not delay all later servers.
 const MOST_WAVE_MS: u64 = 900;
 
+/// The part of the bound on older weights within which the last wave starts.
+///
+/// The other half is for loads that are slow or are ordered twice. Without it, 44
+/// servers of which 15 were down took 38 s for a rollout, and most of those that lived
+/// were barred for older weights meanwhile.
+const BOUND_PART: u64 = 2;
+
 /// The place of one server among those of its service.
 #[derive(Debug, Copy, Clone, PartialEq, Eq)]
 pub struct RolloutPlace {
@@ -37,12 +44,15 @@
 #[derive(Debug, Copy, Clone)]
 pub struct Rollout {
     load_ms: u64,
+    most_ms: Option<u64>,
 }
 
 impl Rollout {
-    /// Creates a plan that has seen no load yet.
-    pub fn new() -> Self {
-        Self { load_ms: FIRST_LOAD_MS }
+    /// Creates a plan that has seen no load yet, where nothing may begin on older
+    /// weights after `bound_ms`.
+    pub fn new(bound_ms: Option<u64>) -> Self {
+        let most_ms = bound_ms.map(|bound_ms| bound_ms / BOUND_PART);
+        Self { load_ms: FIRST_LOAD_MS, most_ms }
     }
 
     /// Notes how long a load took.
@@ -56,17 +66,21 @@
     /// down or cut off delays nobody, and no message is needed in the seconds in
     /// which the platform may be away.
     pub fn starts_at(&self, named_at: UnixMs, place: RolloutPlace) -> UnixMs {
+        let wave_ms = self.load_ms + WAVE_SLACK_MS;
+        let wave = (place.position / self.width(place, wave_ms)) as u64;
+        named_at.plus_ms(wave * wave_ms)
+    }
+
+    fn width(&self, place: RolloutPlace, wave_ms: u64) -> usize {
         // Servers that are down are missing already; where a third was lost and
         // a full wave loaded besides, the memory of the rest was full at once.
         let wanted = place.servers.div_ceil(WAVE_DIVISOR);
-        let width = wanted.saturating_sub(place.down).max(1);
-        let wave = (place.position / width) as u64;
-        named_at.plus_ms(wave * (self.load_ms + WAVE_SLACK_MS))
-    }
-}
-
-impl Default for Rollout {
-    fn default() -> Self {
-        Self::new()
+        let bearable = wanted.saturating_sub(place.down);
+        // In time all the same: servers that are late serve nothing at all.
+        let needed = self.most_ms.map_or(1, |most_ms| {
+            let waves = (most_ms / wave_ms).max(1);
+            place.servers.div_ceil(waves as usize)
+        });
+        bearable.max(needed).max(1)
     }
 }
--- a/crates/bilberry-core/tests/forwarding.rs
+++ b/crates/bilberry-core/tests/forwarding.rs
@@ -307,7 +307,7 @@
 fn weights_are_taken_in_waves_that_need_no_message() {
     // Nine servers, weights named at 1,000: two at a time, each wave after the
     // last one's load, whatever becomes of a server in between.
-    let rollout = Rollout::new();
+    let rollout = Rollout::new(None);
     let starts = |down| -> Vec<u64> {
         let place = |position| RolloutPlace { position, servers: 9, down };
         (0..9)
@@ -376,9 +376,25 @@
     }
 }
 
+#[test]
+fn a_rollout_ends_within_half_the_bound_whoever_is_down() {
+    // Callers are refused for seconds: a third of the engines is down as weights are
+    // named, the rest took turns one by one, and most were barred for older weights
+    // before their turn. 44 servers of which 15 are down, half a second for a load.
+    let last = |bound_ms| {
+        let rollout = Rollout::new(bound_ms);
+        let place = |position| RolloutPlace { position, servers: 44, down: 15 };
+        (0..44).map(|position| rollout.starts_at(UnixMs(0), place(position)).0).max()
+    };
+    assert_eq!(last(None), Some(43 * 530));
+    assert_eq!(last(Some(10_000)), Some(8 * 530));
+    assert_eq!(last(Some(8_000)), Some(6 * 530));
+    assert_eq!(last(Some(100)), Some(0));
+}
+
 #[test]
 fn a_straggling_load_does_not_delay_all_later_waves() {
-    let mut rollout = Rollout::new();
+    let mut rollout = Rollout::new(None);
     rollout.measure(60_000);
     let place = RolloutPlace { position: 2, servers: 9, down: 0 };
     assert_eq!(rollout.starts_at(UnixMs(0), place), UnixMs(930));
--- a/crates/bilberry-steward/src/steward.rs
+++ b/crates/bilberry-steward/src/steward.rs
@@ -52,6 +52,7 @@
     engine: E,
     clock: C,
     holder: String,
+    weights_bound_ms: Option<u64>,
     newest: Arc<Newest>,
     cache: Arc<CacheView>,
     state: watch::Sender<EngineState>,
@@ -69,7 +70,7 @@
 }
 
 /// What a steward remembers from one look to the next.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Progress {
     rollout: Rollout,
     unanswered: u32,
@@ -78,6 +79,18 @@
     not_before: UnixMs,
 }
 
+impl Progress {
+    fn new(weights_bound_ms: Option<u64>) -> Self {
+        Self {
+            rollout: Rollout::new(weights_bound_ms),
+            unanswered: 0,
+            ordered: None,
+            planned: None,
+            not_before: UnixMs(0),
+        }
+    }
+}
+
 /// A load that was planned.
 #[derive(Debug, PartialEq, Eq)]
 struct Planned {
@@ -93,11 +106,13 @@
 }
 
 impl<E: Engine, C: Clock> Steward<E, C> {
-    /// Creates a steward; `holder` names this host in orders.
+    /// Creates a steward; `holder` names this host in orders, and nothing may begin on
+    /// older weights after `weights_bound_ms`.
     pub fn new(
         engine: E,
         clock: C,
         holder: String,
+        weights_bound_ms: Option<u64>,
         newest: Arc<Newest>,
         cache: Arc<CacheView>,
     ) -> Self {
@@ -105,6 +120,7 @@
             engine,
             clock,
             holder,
+            weights_bound_ms,
             newest,
             cache,
             state: watch::Sender::default(),
@@ -119,7 +135,7 @@
 
     /// Follows the engine for ever.
     pub async fn run(self: Arc<Self>) {
-        let mut progress = Progress::default();
+        let mut progress = Progress::new(self.weights_bound_ms);
         loop {
             match self.ask().await {
                 Some(report) => {
--- a/crates/bilberryd/src/hosted.rs
+++ b/crates/bilberryd/src/hosted.rs
@@ -190,6 +190,7 @@
         HttpEngine::new(engine),
         clock,
         holder,
+        settings.weights_bound_ms,
         newest.clone(),
         cache.clone(),
     );
