One place divides what all entries share

How many entries are assumed until the number is known stood as a constant in both the budget of repeats and the share of a link, with the same division. Behaviour is unchanged: the same operations in the same order.

--- a/crates/bilberry-core/src/lib.rs
+++ b/crates/bilberry-core/src/lib.rs
@@ -8,6 +8,7 @@
 mod chain;
 mod claim;
 mod cursor;
+mod entry_share;
 mod event_split;
 mod freshness;
 mod hlc;
--- a/crates/bilberry-core/src/link_share.rs
+++ b/crates/bilberry-core/src/link_share.rs
@@ -6,6 +6,7 @@
 //! prompt would have taken a tenth of that.
 
 use crate::UnixMs;
+use crate::entry_share::entry_share;
 
 /// For how long an unused share is saved up.
 ///
@@ -15,9 +16,6 @@
 /// seconds, against 74% without a bound.
 const SAVED_MS: f64 = 800.0;
 
-/// How many entries are assumed until the number is known, as for repeats.
-const UNKNOWN_ENTRIES: usize = 16;
-
 /// What a transfer costs between data centres, against one within.
 const CROSSING_FACTOR: u64 = 2;
 
@@ -52,8 +50,7 @@
         tokens_per_s: f64,
         entries: Option<usize>,
     ) -> bool {
-        let entries = entries.unwrap_or(UNKNOWN_ENTRIES).max(1);
-        let per_ms = tokens_per_s / 1_000.0 / entries as f64;
+        let per_ms = entry_share(tokens_per_s / 1_000.0, entries);
         let earned = now.ms_since(self.at) as f64 * per_ms;
         self.left_tokens = (self.left_tokens + earned).min(SAVED_MS * per_ms);
         self.at = self.at.max(now);
--- a/crates/bilberry-core/src/shared_budget.rs
+++ b/crates/bilberry-core/src/shared_budget.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use crate::UnixMs;
+use crate::entry_share::entry_share;
 
 /// How finely a window is counted.
 const BUCKET_MS: u64 = 500;
@@ -13,12 +14,6 @@
 /// and requests in progress are counted on both sides of an edge.
 const USED_PART: f64 = 0.7;
 
-/// How many entries are assumed until the number is known.
-///
-/// Too many makes a starting entry thrifty for a second, too few would let a
-/// herd of restarted entries overdraw together.
-const UNKNOWN_ENTRIES: usize = 16;
-
 /// The limits on repeats of one service, over all entries.
 #[derive(Debug, Copy, Clone, PartialEq)]
 pub struct BudgetTerms {
@@ -62,11 +57,10 @@
     /// Takes one repeat out; returns false if there is none left.
     pub fn spend(&mut self, now: UnixMs, entries: Option<usize>) -> bool {
         self.bucket(now);
-        let entries = entries.unwrap_or(UNKNOWN_ENTRIES).max(1);
         let requests: u64 = self.buckets.iter().map(|b| b.requests).sum();
         let repeats: u64 = self.buckets.iter().map(|b| b.repeats).sum();
-        let allowed =
-            requests as f64 * self.terms.ratio + self.terms.slack / entries as f64;
+        let slack = entry_share(self.terms.slack, entries);
+        let allowed = requests as f64 * self.terms.ratio + slack;
         if repeats as f64 + 1.0 > allowed * USED_PART {
             return false;
         }
