The gate no longer knows the permit

Gate held tickets whose grant held a permit, and a permit starts at the gate. The gate is now generic over what waiting requests are told, the grant stands with the admission, and the work of a request has a file of its own. Admission and permit still name each other: a permit that is dropped starts who waits. Behaviour is unchanged.

--- a/crates/bilberry-sidecar/src/admission.rs
+++ b/crates/bilberry-sidecar/src/admission.rs
@@ -12,8 +12,8 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::Work;
 use crate::gate::Gate;
-use crate::gate::Granted;
 use crate::gate::Ticket;
 use crate::permit::Pause;
 use crate::permit::Permit;
@@ -21,30 +21,6 @@
 /// After how many requests idle customers' accounts are cleared away.
 const FORGET_EVERY: u64 = 1_024;
 
-/// The work that one request brings.
-#[derive(Debug, Clone)]
-pub struct Work {
-    /// The customer.
-    pub customer: Name,
-    /// The customer's weight.
-    pub weight: u64,
-    /// The customer's priority.
-    pub priority: u8,
-    /// The prompt tokens that have to be computed.
-    pub prefill_tokens: u64,
-    /// The tokens of the answer.
-    pub output_tokens: u64,
-    /// When the caller has no more use for an answer.
-    pub deadline: UnixMs,
-}
-
-impl Work {
-    /// Returns the cost by which the upstream is shared.
-    pub fn cost(&self) -> u64 {
-        self.prefill_tokens + self.output_tokens + 1
-    }
-}
-
 /// The gate in front of one upstream.
 ///
 /// A lock is held for a few operations on maps in memory and never across an
@@ -52,7 +28,7 @@
 /// the design note on admission.
 #[derive(Debug, Clone)]
 pub struct Admission {
-    pub(crate) gate: Arc<Mutex<Gate>>,
+    pub(crate) gate: Arc<Mutex<Gate<Granted>>>,
 }
 
 /// Why a request did not come through the gate.
@@ -67,6 +43,17 @@
     Expired,
 }
 
+/// What a waiting request is told.
+#[derive(Debug)]
+pub(crate) enum Granted {
+    /// A place.
+    Place(Permit),
+    /// Another customer's request, short of its share, took the waiting place.
+    Displaced,
+    /// Its answer would not be whole by its deadline any more.
+    TooLate,
+}
+
 /// The answer of the gate.
 enum Asked {
     Run(Permit),
--- a/crates/bilberry-sidecar/src/gate.rs
+++ b/crates/bilberry-sidecar/src/gate.rs
@@ -11,7 +11,6 @@
 
 use crate::Work;
 use crate::learned::Learned;
-use crate::permit::Permit;
 
 /// How much prefill may be under way at the engine for another to be added.
 const PREFILL_AHEAD_US: f64 = 20_000.0;
@@ -22,28 +21,20 @@
 /// The wait that is told while a pause lasts, so that work goes elsewhere.
 const PAUSE_US: f64 = 2_000_000.0;
 
-/// A request that waits.
+/// A request that waits to be told `G`.
 #[derive(Debug)]
-pub(crate) struct Ticket {
-    pub(crate) grant: oneshot::Sender<Granted>,
+pub(crate) struct Ticket<G> {
+    pub(crate) grant: oneshot::Sender<G>,
     pub(crate) work: Work,
 }
 
-/// What a waiting request is told.
-#[derive(Debug)]
-pub(crate) enum Granted {
-    /// A place.
-    Place(Permit),
-    /// Another customer's request, short of its share, took the waiting place.
-    Displaced,
-    /// Its answer would not be whole by its deadline any more.
-    TooLate,
-}
-
 /// The state behind the admission lock.
+///
+/// It doesn't know what waiting requests are told, which may be a permit that
+/// gives its place back through the gate.
 #[derive(Debug)]
-pub(crate) struct Gate {
-    pub(crate) queue: FairQueue<Ticket>,
+pub(crate) struct Gate<G> {
+    pub(crate) queue: FairQueue<Ticket<G>>,
     pub(crate) learned: Learned,
     pub(crate) paused: bool,
     pub(crate) asked: u64,
@@ -54,7 +45,7 @@
     prefill_free_at: Instant,
 }
 
-impl Gate {
+impl<G> Gate<G> {
     pub(crate) fn new(limit: usize, queue_limit: usize) -> Self {
         Self {
             queue: FairQueue::new(queue_limit),
@@ -87,7 +78,7 @@
         self.prefill_backlog_tokens
     }
 
-    pub(crate) fn push(&mut self, ticket: Ticket) -> Pushed<Ticket> {
+    pub(crate) fn push(&mut self, ticket: Ticket<G>) -> Pushed<Ticket<G>> {
         let Work { customer, weight, priority, .. } = ticket.work.clone();
         let cost = ticket.work.cost();
         self.queue.push(&customer, weight, priority, cost, ticket)
--- a/crates/bilberry-sidecar/src/lib.rs
+++ b/crates/bilberry-sidecar/src/lib.rs
@@ -20,11 +20,10 @@
 mod plain;
 mod plain_call;
 mod sidecar;
+mod work;
 
 pub use admission::Admission;
 pub use admission::Refusal;
-
-pub use admission::Work;
 pub use engine::Engine;
 pub use engine::EngineCall;
 pub use engine::EngineError;
@@ -42,3 +41,4 @@
 pub use plain::PlainRequest;
 pub use plain::PlainService;
 pub use sidecar::Sidecar;
+pub use work::Work;
--- a/crates/bilberry-sidecar/src/permit.rs
+++ b/crates/bilberry-sidecar/src/permit.rs
@@ -24,7 +24,7 @@
 }
 
 impl Permit {
-    pub(crate) fn start(admission: Admission, gate: &mut Gate, work: Work) -> Self {
+    pub(crate) fn start<G>(admission: Admission, gate: &mut Gate<G>, work: Work) -> Self {
         let backlog_at_start = gate.prefill_backlog_tokens();
         gate.start(work.prefill_tokens);
         let started = Instant::now();
