Logic that stood twice stands once

- Sidecar: sending a request over HTTP, what its failure proves, reading a bounded body and the bound on a silent engine, for engines and for plain services alike (exchange.rs).
- Node: the loop that follows a prefix of the platform, for the head and for registrations (News).
- Config: the error on a value of a customer, a pool or an upstream.

Behaviour is unchanged. Left alone, as they only look alike: fields of errors that differ in meaning, signatures that a trait or the queue sets, metrics and their registration, constants and imports, tables of columns, the two shapes of load, and tests that share only their opening.

--- a/crates/bilberry-config/src/compile.rs
+++ b/crates/bilberry-config/src/compile.rs
@@ -129,14 +129,7 @@
 
     fn check_customers(&self) -> Result<(), ConfigError> {
         for (file, customer) in self.customers.values() {
-            let value = |key, problem, remedy| ConfigError::Value {
-                file: file.to_string(),
-                kind: "customer",
-                name: customer.name.to_string(),
-                key,
-                problem,
-                remedy,
-            };
+            let value = bad_value(file, "customer", &customer.name);
             if customer.weight == 0 {
                 return Err(value("weight", "is zero", "give a weight of one or more"));
             }
@@ -164,14 +157,7 @@
 
     fn check_pools(&self) -> Result<(), ConfigError> {
         for (file, pool) in self.pools.values() {
-            let value = |key, problem, remedy| ConfigError::Value {
-                file: file.to_string(),
-                kind: "pool",
-                name: pool.name.to_string(),
-                key,
-                problem,
-                remedy,
-            };
+            let value = bad_value(file, "pool", &pool.name);
             if !(0.0..=100.0).contains(&pool.recompute_weight) {
                 let remedy =
                     "1 minimises each caller's own wait; 2 spares others' blocks";
@@ -204,14 +190,7 @@
         for (file, upstream) in self.upstreams.values() {
             let known = self.pools.contains_key(&upstream.pool);
             need(known, file, "upstream", &upstream.name, "pool", &upstream.pool)?;
-            let value = |key, problem, remedy| ConfigError::Value {
-                file: file.to_string(),
-                kind: "upstream",
-                name: upstream.name.to_string(),
-                key,
-                problem,
-                remedy,
-            };
+            let value = bad_value(file, "upstream", &upstream.name);
             if Place::parse(&upstream.place).is_none() {
                 return Err(value("place", "is no place", "write it as `region/hall`"));
             }
@@ -291,6 +270,23 @@
     }
 }
 
+/// Returns what builds the errors on values of one thing from key, problem and
+/// remedy.
+fn bad_value(
+    file: &Name,
+    kind: &'static str,
+    name: &Name,
+) -> impl Fn(&'static str, &'static str, &'static str) -> ConfigError {
+    move |key, problem, remedy| ConfigError::Value {
+        file: file.to_string(),
+        kind,
+        name: name.to_string(),
+        key,
+        problem,
+        remedy,
+    }
+}
+
 fn shared<T>(map: Defined<T>) -> BTreeMap<Name, Arc<T>> {
     map.into_iter().map(|(name, (_, value))| (name, value)).collect()
 }
--- a/crates/bilberry-node/src/watch.rs
+++ b/crates/bilberry-node/src/watch.rs
@@ -69,20 +69,14 @@
     sync: Address<SyncActor<P>>,
     watchers: usize,
 ) {
-    let mut position = 0;
+    let mut news = News::new(node, platform, HEAD_KEY, watchers);
     loop {
-        match look(&platform, HEAD_KEY, position).await {
-            Ok(listing) => {
-                position = listing.position;
-                for head in listing.objects.into_iter().filter_map(|o| o.value) {
-                    if sync.send(HeadSeen { head, pieces: Vec::new() }).await.is_err() {
-                        return;
-                    }
-                }
+        let listing = news.next().await;
+        for head in listing.objects.into_iter().filter_map(|o| o.value) {
+            if sync.send(HeadSeen { head, pieces: Vec::new() }).await.is_err() {
+                return;
             }
-            Err(error) => pause_after(error, &mut position).await,
         }
-        rest(&node, watchers, &mut position).await;
     }
 }
 
@@ -92,25 +86,19 @@
     sync: Address<SyncActor<P>>,
     watchers: usize,
 ) {
-    let mut position = 0;
+    let mut news = News::new(node, platform, NODES_PREFIX, watchers);
     loop {
-        let whole = position == 0;
-        match look(&platform, NODES_PREFIX, position).await {
-            Ok(listing) => {
-                position = listing.position;
-                let read = |text: String| serde_json::from_str::<Registration>(&text);
-                let nodes = listing
-                    .objects
-                    .into_iter()
-                    .map(|o| (o.version, o.value.and_then(|text| read(text).ok())))
-                    .collect();
-                if sync.send(NodesSeen { nodes, whole }).await.is_err() {
-                    return;
-                }
-            }
-            Err(error) => pause_after(error, &mut position).await,
+        let listing = news.next().await;
+        let read = |text: String| serde_json::from_str::<Registration>(&text);
+        let nodes = listing
+            .objects
+            .into_iter()
+            .map(|o| (o.version, o.value.and_then(|text| read(text).ok())))
+            .collect();
+        let whole = news.is_whole;
+        if sync.send(NodesSeen { nodes, whole }).await.is_err() {
+            return;
         }
-        rest(&node, watchers, &mut position).await;
     }
 }
 
@@ -136,32 +124,59 @@
     }
 }
 
-/// Reads everything at first, and waits for news from then on.
-async fn look<P: Platform>(
-    platform: &P,
-    prefix: &str,
+/// What is new below a prefix of the platform.
+struct News<P> {
+    node: Arc<Node>,
+    platform: P,
+    prefix: &'static str,
+    watchers: usize,
     position: u64,
-) -> Result<Listing, PlatformError> {
-    match position {
-        0 => platform.list(prefix).await,
-        _ => platform.watch(prefix, position).await,
-    }
+    /// Whether the last listing shows everything, not only changes.
+    is_whole: bool,
 }
 
-/// Lets a process that is no watcher look only now and then.
-async fn rest(node: &Node, watchers: usize, position: &mut u64) {
-    if *position != 0 && !is_watcher(node, watchers) {
-        let pause_ms = LOOK_EVERY_MS / 2 + rand::random_range(0..=LOOK_EVERY_MS);
-        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-        // Reads everything at the next turn instead of waiting for news.
-        *position = 0;
+impl<P: Platform> News<P> {
+    fn new(node: Arc<Node>, platform: P, prefix: &'static str, watchers: usize) -> Self {
+        Self { node, platform, prefix, watchers, position: 0, is_whole: true }
+    }
+
+    /// Reads everything at first, and waits for news from then on.
+    async fn next(&mut self) -> Listing {
+        loop {
+            self.rest().await;
+            self.is_whole = self.position == 0;
+            match self.look().await {
+                Ok(listing) => {
+                    self.position = listing.position;
+                    return listing;
+                }
+                Err(error) => self.pause_after(error).await,
+            }
+        }
+    }
+
+    async fn look(&self) -> Result<Listing, PlatformError> {
+        match self.position {
+            0 => self.platform.list(self.prefix).await,
+            position => self.platform.watch(self.prefix, position).await,
+        }
     }
-}
 
-async fn pause_after(error: PlatformError, position: &mut u64) {
-    log::debug!("the platform is not followed: {error}");
-    // The store may have come back with another history: read all of it again.
-    *position = 0;
-    let pause_ms = PAUSE_MS / 2 + rand::random_range(0..=PAUSE_MS);
-    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+    /// Lets a process that is no watcher look only now and then.
+    async fn rest(&mut self) {
+        if self.position != 0 && !is_watcher(&self.node, self.watchers) {
+            let pause_ms = LOOK_EVERY_MS / 2 + rand::random_range(0..=LOOK_EVERY_MS);
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            // Reads everything at the next turn instead of waiting for news.
+            self.position = 0;
+        }
+    }
+
+    async fn pause_after(&mut self, error: PlatformError) {
+        log::debug!("the platform is not followed: {error}");
+        // The store may have come back with another history: read all of it again.
+        self.position = 0;
+        let pause_ms = PAUSE_MS / 2 + rand::random_range(0..=PAUSE_MS);
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
 }
--- a/crates/bilberry-sidecar/src/completion.rs
+++ b/crates/bilberry-sidecar/src/completion.rs
@@ -1,7 +1,5 @@
 //! Running one completion on the engine.
 
-use std::time::Duration;
-
 use bilberry_core::Clock;
 use bilberry_core::Name;
 use bilberry_core::SystemClock;
@@ -14,7 +12,6 @@
 use bilberry_wire::Dispatch;
 use bilberry_wire::Finished;
 use bilberry_wire::Refused;
-use tokio::time::timeout;
 
 use crate::Engine;
 use crate::EngineCall;
@@ -30,10 +27,14 @@
 use crate::answers::may_have_run;
 use crate::answers::not_admitted;
 use crate::answers::not_run;
+use crate::exchange::within;
 
 /// How often a request is started again because the weights changed meanwhile.
 const MOST_WEIGHT_CHANGES: usize = 3;
 
+/// What is said of an engine that stays silent too long.
+const SILENT: &str = "the engine is silent";
+
 impl<P: Platform, E: Engine, S: PlainService> Sidecar<P, E, S> {
     /// Serves one completion and ends it with exactly one last message.
     pub(crate) async fn serve_completion(&self, dispatch: Dispatch, reply: Reply) {
@@ -81,7 +82,7 @@
             }
             let call = self.engine_call(dispatch);
             self.node.events.record(&dispatch.request, "engine_started", &weights);
-            let starting = within(permit.silence_bound(), self.engine.run(call));
+            let starting = within(permit.silence_bound(), SILENT, self.engine.run(call));
             let stream = match starting.await {
                 Ok(stream) => stream,
                 Err(error) => return self.refuse_engine_error(error),
@@ -122,7 +123,7 @@
         let attempt = dispatch.attempt;
         let mut number = 0;
         loop {
-            let text = match within(permit.silence_bound(), stream.next()).await {
+            let text = match within(permit.silence_bound(), SILENT, stream.next()).await {
                 Ok(EngineOutput::Text(text)) => text,
                 Ok(EngineOutput::End(end)) => {
                     self.health.succeed();
@@ -167,17 +168,6 @@
     }
 }
 
-/// Gives up on an engine that stays silent too long.
-async fn within<T>(
-    bound: Duration,
-    waiting: impl Future<Output = Result<T, EngineError>>,
-) -> Result<T, EngineError> {
-    match timeout(bound, waiting).await {
-        Ok(result) => result,
-        Err(_) => Err(EngineError::Lost("the engine is silent".to_string())),
-    }
-}
-
 fn finished(attempt: u32, chunks: u64, end: StreamEnd) -> Body {
     Body::Finished(Finished {
         attempt,
--- a/crates/bilberry-sidecar/src/engine_http.rs
+++ b/crates/bilberry-sidecar/src/engine_http.rs
@@ -8,9 +8,7 @@
 use bilberry_core::Fingerprint;
 use bytes::Bytes;
 use bytes::BytesMut;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
@@ -18,12 +16,10 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::time::timeout;
 
 use crate::Engine;
 use crate::EngineCall;
@@ -34,6 +30,10 @@
 use crate::EngineStream;
 use crate::Snapshot;
 use crate::StreamEnd;
+use crate::exchange::HttpClient;
+use crate::exchange::exchange;
+use crate::exchange::read_body;
+use crate::exchange::within;
 use crate::lines::Lines;
 
 /// The header in which an engine names its incarnation.
@@ -45,6 +45,9 @@
 /// How long a question that is no completion may take.
 const ASK_WAIT: Duration = Duration::from_millis(1_000);
 
+/// What is said of an engine that does not answer in time.
+const LATE: &str = "no answer in time";
+
 /// How long an order to load weights may take.
 const LOAD_WAIT: Duration = Duration::from_millis(30_000);
 
@@ -54,7 +57,7 @@
 /// An engine over HTTP.
 #[derive(Debug, Clone)]
 pub struct HttpEngine {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: HttpClient,
     address: SocketAddr,
 }
 
@@ -164,14 +167,7 @@
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .map_err(|error| EngineError::Lost(error.to_string()))?;
-        let answer = match self.client.request(request).await {
-            Ok(answer) => answer,
-            // Only a connection that never opened proves that nothing ran.
-            Err(error) if error.is_connect() => {
-                return Err(EngineError::Unreachable(error.to_string()));
-            }
-            Err(error) => return Err(EngineError::Lost(error.to_string())),
-        };
+        let answer = exchange(&self.client, request).await?;
         match answer.status() {
             status if status.is_success() => Ok(answer),
             status => {
@@ -187,7 +183,7 @@
             let text = read_text(answer).await?;
             serde_json::from_str(&text).map_err(|e| EngineError::Lost(e.to_string()))
         };
-        within(ASK_WAIT, asking).await
+        within(ASK_WAIT, LATE, asking).await
     }
 }
 
@@ -217,7 +213,7 @@
 
     async fn events(&self) -> Result<HttpEvents, EngineError> {
         let sending = self.send(Method::GET, "/v1/cache/events", Bytes::new());
-        let answer = within(ASK_WAIT, sending).await?;
+        let answer = within(ASK_WAIT, LATE, sending).await?;
         Ok(HttpEvents { lines: Lines::new(answer.into_body()) })
     }
 
@@ -234,7 +230,7 @@
         let order = serde_json::to_vec(&LoadOrder { weights, fencing });
         let order = Bytes::from(order.unwrap_or_default());
         let sending = self.send(Method::POST, "/v1/orders/load", order);
-        within(LOAD_WAIT, sending).await.map(|_| ())
+        within(LOAD_WAIT, LATE, sending).await.map(|_| ())
     }
 }
 
@@ -349,17 +345,6 @@
 }
 
 async fn read_text(answer: Response<Incoming>) -> Result<String, EngineError> {
-    let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect().await;
-    let body = body.map_err(|error| EngineError::Lost(error.to_string()))?;
-    Ok(String::from_utf8_lossy(&body.to_bytes()).into_owned())
-}
-
-async fn within<T>(
-    wait: Duration,
-    asking: impl Future<Output = Result<T, EngineError>>,
-) -> Result<T, EngineError> {
-    match timeout(wait, asking).await {
-        Ok(answer) => answer,
-        Err(_) => Err(EngineError::Lost("no answer in time".to_string())),
-    }
+    let body = read_body(answer, MAX_ANSWER_BYTES).await?;
+    Ok(String::from_utf8_lossy(&body).into_owned())
 }
--- a/crates/bilberry-sidecar/src/lib.rs
+++ b/crates/bilberry-sidecar/src/lib.rs
@@ -11,6 +11,7 @@
 mod engine;
 mod engine_http;
 mod engine_view;
+mod exchange;
 mod gate;
 mod health;
 mod learned;
--- a/crates/bilberry-sidecar/src/plain.rs
+++ b/crates/bilberry-sidecar/src/plain.rs
@@ -5,16 +5,17 @@
 
 use bilberry_wire::PlainAnswer;
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::header::CONTENT_TYPE;
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use thiserror::Error;
 
+use crate::exchange::HttpClient;
+use crate::exchange::exchange;
+use crate::exchange::read_body;
+
 /// The largest answer of a service, so that one frame holds it.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
@@ -59,7 +60,7 @@
 /// A plain service over HTTP.
 #[derive(Debug, Clone)]
 pub struct HttpPlain {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: HttpClient,
     address: SocketAddr,
 }
 
@@ -91,19 +92,12 @@
         let request = request
             .body(Full::new(call.body))
             .map_err(|error| PlainError::Unreachable(error.to_string()))?;
-        let answer = match self.client.request(request).await {
-            Ok(answer) => answer,
-            Err(error) if error.is_connect() => {
-                return Err(PlainError::Unreachable(error.to_string()));
-            }
-            Err(error) => return Err(PlainError::Lost(error.to_string())),
-        };
+        let answer = exchange(&self.client, request).await?;
         let status = u32::from(answer.status().as_u16());
         let content_type = answer.headers().get(CONTENT_TYPE);
         let content_type = content_type.and_then(|value| value.to_str().ok());
         let content_type = content_type.unwrap_or_default().to_string();
-        let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect().await;
-        let body = body.map_err(|error| PlainError::Lost(error.to_string()))?;
-        Ok(PlainAnswer { status, content_type, body: body.to_bytes() })
+        let body = read_body(answer, MAX_ANSWER_BYTES).await?;
+        Ok(PlainAnswer { status, content_type, body })
     }
 }
--- a/tests/tests/at_most_once.rs
+++ b/tests/tests/at_most_once.rs
@@ -66,6 +66,14 @@
     .await
 }
 
+/// Repeats the call behind an entry until it is answered.
+async fn answered_in_the_end(fleet: &Fleet, entry: usize, what: &str) {
+    eventually(what, || async {
+        (call(&fleet.caller(entry, "anna")).await.status == 200).then_some(())
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_repeated_key_gets_the_recorded_answer_behind_any_entry() {
     // The caller did not see its answer and asks again behind another entry. Two
@@ -178,10 +186,7 @@
     assert!(refused.header("retry-after").is_some());
     assert_eq!(fleet.runs_of(KEY).await, 0);
     fleet.set_faults(&fleet.platform, &PlatformFaults::default()).await;
-    eventually("the key runs", || async {
-        (call(&fleet.caller(0, "anna")).await.status == 200).then_some(())
-    })
-    .await;
+    answered_in_the_end(&fleet, 0, "the key runs").await;
     assert_eq!(fleet.runs_of(KEY).await, 1);
 }
 
@@ -199,10 +204,7 @@
     fleet.set_faults(&fleet.platform, &down).await;
     assert_eq!(running.await.expect("the call ends").status, 200);
     fleet.set_faults(&fleet.platform, &PlatformFaults::default()).await;
-    eventually("the outcome is recorded", || async {
-        (call(&fleet.caller(1, "anna")).await.status == 200).then_some(())
-    })
-    .await;
+    answered_in_the_end(&fleet, 1, "the outcome is recorded").await;
     assert_eq!(fleet.runs_of(KEY).await, 1);
 }
 
--- a/tests/tests/leaving.rs
+++ b/tests/tests/leaving.rs
@@ -6,6 +6,7 @@
 use bilberry_standins::expected_answer;
 use bilberry_tests::Fleet;
 use bilberry_tests::Plan;
+use bilberry_tests::Streaming;
 use bilberry_tests::eventually;
 use tokio::time::Instant;
 
@@ -49,6 +50,30 @@
     assert_eq!(fleet.engine(at).await.runs, before);
 }
 
+/// Starts streams behind so many entries in turn and reads the first token of each.
+async fn start_streams(
+    fleet: &Fleet,
+    count: usize,
+    entries: usize,
+) -> Vec<(String, Streaming)> {
+    let mut streams = Vec::new();
+    for at in 0..count {
+        let prompt = format!("stop {at}");
+        let mut stream = fleet.caller(at % entries, "anna").start(&prompt, 60).await;
+        stream.read_tokens(1).await;
+        streams.push((prompt, stream));
+    }
+    streams
+}
+
+async fn assert_all_whole(streams: Vec<(String, Streaming)>) {
+    for (prompt, stream) in streams {
+        let answer = stream.finish().await;
+        assert_eq!(answer.text, expected_answer(&prompt, "w1", 60));
+        assert!(answer.done);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_drained_upstream_gets_no_new_work_and_ends_what_it_has() {
     // An operator drains the engine that is in the middle of an answer. The
@@ -102,19 +127,9 @@
     // The entry is told to stop in mid-stream. It finishes what it has, takes
     // nothing new, and ends with success.
     let mut fleet = fleet(Plan::default()).await;
-    let mut streams = Vec::new();
-    for at in 0..10 {
-        let prompt = format!("stop {at}");
-        let mut stream = fleet.caller(0, "anna").start(&prompt, 60).await;
-        stream.read_tokens(1).await;
-        streams.push((prompt, stream));
-    }
+    let streams = start_streams(&fleet, 10, 1).await;
     fleet.entries[0].terminate();
-    for (prompt, stream) in streams {
-        let answer = stream.finish().await;
-        assert_eq!(answer.text, expected_answer(&prompt, "w1", 60));
-        assert!(answer.done);
-    }
+    assert_all_whole(streams).await;
     assert_eq!(fleet.entries[0].ended().await.code(), Some(0));
     let answer = fleet.caller(1, "anna").complete("elsewhere", 2).await;
     assert!(answer.done);
@@ -125,22 +140,12 @@
     // The sidecar is told to stop while it carries streams. Those end where they
     // are, not by resuming elsewhere: no engine run is cancelled.
     let mut fleet = fleet(Plan::default()).await;
-    let mut streams = Vec::new();
-    for at in 0..12 {
-        let prompt = format!("stop {at}");
-        let mut stream = fleet.caller(at % 2, "anna").start(&prompt, 60).await;
-        stream.read_tokens(1).await;
-        streams.push((prompt, stream));
-    }
+    let streams = start_streams(&fleet, 12, 2).await;
     for at in 0..2 {
         fleet.sidecars[at].terminate();
     }
     ask_once(&fleet, "during the stop").await;
-    for (prompt, stream) in streams {
-        let answer = stream.finish().await;
-        assert_eq!(answer.text, expected_answer(&prompt, "w1", 60));
-        assert!(answer.done);
-    }
+    assert_all_whole(streams).await;
     for at in 0..2 {
         assert_eq!(fleet.sidecars[at].ended().await.code(), Some(0));
         assert_eq!(fleet.engine(at).await.cancelled, 0);
