The keys of a prompt's parts are computed once for each salt

What an upstream is told, where it may fetch and what counts as read each hashed the salt for each part, and again for each other upstream. PromptKeys computes them once a request and salt and compares them with upstreams and with the store of kept prompts. Behaviour is unchanged.

--- a/crates/bilberry-gateway/src/dispatch.rs
+++ b/crates/bilberry-gateway/src/dispatch.rs
@@ -5,10 +5,8 @@
 use bilberry_core::Clock;
 use bilberry_core::PeerCopy;
 use bilberry_core::Source;
-use bilberry_core::UnixMs;
 use bilberry_core::choose_source;
 use bilberry_core::is_worth_keeping;
-use bilberry_core::part_key;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -19,14 +17,14 @@
 use crate::Gateway;
 use crate::Job;
 use crate::MemoryCopy;
+use crate::PromptKeys;
 use crate::Seat;
-use crate::gateway::held_tokens;
 
 impl<D: Dialect, C: Clock> Gateway<D, C> {
     /// Builds the request that an upstream gets.
     pub(crate) fn request(
         &self,
-        job: &Job,
+        job: &mut Job,
         seat: &Seat,
         last_event: Option<u64>,
         from_copy: bool,
@@ -59,35 +57,41 @@
     }
 
     /// Says under which salt parts are cached, where to fetch and keep them.
-    fn name_cache(&self, job: &Job, seat: &Seat, weights: u64, dispatch: &mut Dispatch) {
+    fn name_cache(
+        &self,
+        job: &mut Job,
+        seat: &Seat,
+        weights: u64,
+        dispatch: &mut Dispatch,
+    ) {
         let now = self.clock.now();
-        let salt = job.salt(weights);
+        let keys = job.keys(weights);
         let shared_tokens = job.call.shared_tokens();
         if shared_tokens > 0 {
-            dispatch.fetch_from = self.source(job, seat, &salt);
-            let lacking = shared_tokens - self.kept_tokens(job, &salt, now);
+            dispatch.fetch_from = self.source(job, seat, &keys);
+            let lacking = shared_tokens - keys.kept_tokens(&self.kept, now);
             let own = job.call.prompt_tokens.saturating_sub(shared_tokens);
             dispatch.save_to =
                 self.prompt_store().filter(|_| is_worth_keeping(lacking, own));
         }
         dispatch.weights = Some(weights);
-        dispatch.salt = Some(salt);
+        dispatch.salt = Some(keys.salt().to_string());
     }
 
     /// Returns where an upstream may fetch what it lacks of the shared prompt.
-    fn source(&self, job: &Job, seat: &Seat, salt: &str) -> Option<SocketAddr> {
+    fn source(&self, job: &Job, seat: &Seat, keys: &PromptKeys) -> Option<SocketAddr> {
         let now = self.clock.now();
-        let own_tokens = held_tokens(&seat.upstream, salt, &job.call, now);
+        let own_tokens = keys.held_tokens(&seat.upstream, now);
         let peers = self.upstreams.of(&job.pool.name);
         let others = peers.iter().filter(|peer| peer.id != seat.upstream.id);
         let others: Vec<_> = others.collect();
         let copies = others.iter().map(|peer| PeerCopy {
-            held_tokens: held_tokens(peer, salt, &job.call, now),
+            held_tokens: keys.held_tokens(peer, now),
             same_place: peer.place == seat.upstream.place,
         });
         let copies: Vec<_> = copies.collect();
         let store = self.prompt_store();
-        let kept = store.map(|_| self.kept_tokens(job, salt, now));
+        let kept = store.map(|_| keys.kept_tokens(&self.kept, now));
         let chosen = match choose_source(own_tokens, &copies, kept)? {
             Source::Store => {
                 let tokens = kept.unwrap_or_default().saturating_sub(own_tokens);
@@ -104,21 +108,12 @@
         }
     }
 
-    /// Returns how many shared tokens the store of kept prompts should have.
-    fn kept_tokens(&self, job: &Job, salt: &str, now: UnixMs) -> u64 {
-        let parts = job.call.shared_parts().iter();
-        let kept = parts.take_while(|part| self.kept.has(part_key(salt, part.id), now));
-        kept.map(|part| part.tokens).sum()
-    }
-
     /// Notes that the answer has begun, so that the prompt has been read.
-    pub(crate) fn note_prompt_read(&self, job: &Job, seat: &mut Seat) {
+    pub(crate) fn note_prompt_read(&self, job: &mut Job, seat: &mut Seat) {
         seat.prompt_is_read();
         let Some(weights) = job.weights else { return };
         let now = self.clock.now();
-        let salt = job.salt(weights);
-        for part in job.call.shared_parts() {
-            let key = part_key(&salt, part.id);
+        for key in job.keys(weights).keys() {
             seat.upstream.expect_part(key, now);
             self.kept.note(key, now);
         }
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -158,7 +158,8 @@
         let upstream = seat.upstream.clone();
         job.tried.push(upstream.id.clone());
         job.backup = self.choose_backup(job, &upstream);
-        let request = self.request(job, &seat, job.call.last_event, false);
+        let last_event = job.call.last_event;
+        let request = self.request(job, &seat, last_event, false);
         // A call that runs once gets a connection of its own. On a kept one, an
         // answer that crosses over from another call, or a close at the moment of
         // sending, would leave it unknown whether the call ran.
--- a/crates/bilberry-gateway/src/job.rs
+++ b/crates/bilberry-gateway/src/job.rs
@@ -15,6 +15,7 @@
 use crate::Call;
 use crate::Customer;
 use crate::Pool;
+use crate::PromptKeys;
 use crate::Route;
 use crate::Upstream;
 
@@ -56,6 +57,8 @@
     pub backup: Option<Arc<Upstream>>,
     /// The weights that it was sent to.
     pub weights: Option<u64>,
+    /// The keys of its shared parts, by the weights that read them.
+    pub prompt_keys: Vec<(u64, Arc<PromptKeys>)>,
     /// How long it waited for room.
     pub waited_ms: u64,
     /// When the first byte of its answer came, after its arrival.
@@ -105,6 +108,17 @@
         }
     }
 
+    /// Returns the keys of its shared parts, computed once for each salt.
+    pub fn keys(&mut self, weights: u64) -> Arc<PromptKeys> {
+        if let Some((_, keys)) = self.prompt_keys.iter().find(|(at, _)| *at == weights) {
+            return keys.clone();
+        }
+        let keys = PromptKeys::new(self.salt(weights), self.call.shared_parts());
+        let keys = Arc::new(keys);
+        self.prompt_keys.push((weights, keys.clone()));
+        keys
+    }
+
     /// Returns the urgency that upstreams are told, 0 first.
     pub fn urgency(&self) -> u8 {
         let own = self.customer.as_ref().and_then(|customer| customer.priority);
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -147,6 +147,7 @@
             runs: 0,
             backup: None,
             weights: None,
+            prompt_keys: Vec::new(),
             waited_ms: 0,
             first_byte_ms: None,
             detail: String::new(),
--- a/crates/bilberry-gateway/tests/knowledge.rs
+++ b/crates/bilberry-gateway/tests/knowledge.rs
@@ -2,8 +2,13 @@
 
 use bilberry_core::Name;
 use bilberry_core::UnixMs;
+use bilberry_core::part_key;
 use bilberry_gateway::KeptParts;
+use bilberry_gateway::Listed;
 use bilberry_gateway::Pace;
+use bilberry_gateway::PromptKeys;
+use bilberry_gateway::PromptPart;
+use bilberry_gateway::Upstream;
 use bilberry_wire::CacheChange;
 
 #[test]
@@ -42,3 +47,36 @@
     assert!(kept.has(1, at(10_000)));
     assert!(!kept.has(3, at(10_000)));
 }
+
+#[test]
+fn a_prompt_is_held_up_to_its_first_missing_part() {
+    // Sidecars know parts by the same keys. A part counts only if all parts before
+    // it are held: an engine reads anew from the first one that it lacks.
+    let parts = [(7, 100), (8, 40), (9, 20)];
+    let parts = parts.map(|(id, tokens)| PromptPart { id, tokens });
+    let keys = PromptKeys::new("shared/m/1".to_string(), &parts);
+    let named: Vec<u64> = parts.map(|part| part_key("shared/m/1", part.id)).to_vec();
+    assert_eq!(keys.keys().collect::<Vec<_>>(), named);
+    let now = UnixMs(1_000_000);
+    let upstream = Upstream::new(&Listed {
+        id: "engine-0".into(),
+        pool: "llm".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        place: "hall-a".into(),
+        slots: 8,
+        leaving: false,
+        models: Vec::new(),
+        listed_at: 1,
+    });
+    let kept = KeptParts::default();
+    assert_eq!(keys.held_tokens(&upstream, now), 0);
+    upstream.expect_part(named[0], now);
+    upstream.expect_part(named[2], now);
+    kept.note(named[1], now);
+    assert_eq!(keys.held_tokens(&upstream, now), 100);
+    assert_eq!(keys.kept_tokens(&kept, now), 0);
+    upstream.expect_part(named[1], now);
+    kept.note(named[0], now);
+    assert_eq!(keys.held_tokens(&upstream, now), 160);
+    assert_eq!(keys.kept_tokens(&kept, now), 140);
+}
