--- a/crates/bilberry-sidecar/src/engine_http.rs
+++ b/crates/bilberry-sidecar/src/engine_http.rs
@@ -1,10 +1,11 @@
 //! An engine with an OpenAI-style interface over HTTP.
 
+mod events;
+mod stream;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bilberry_core::CacheEvent;
-use bilberry_core::EventKind;
 use bilberry_core::Fingerprint;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -21,20 +22,17 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use self::events::HttpEvents;
+use self::stream::HttpStream;
 use crate::Engine;
 use crate::EngineCall;
 use crate::EngineError;
-use crate::EngineEvents;
 use crate::EngineInfo;
-use crate::EngineOutput;
-use crate::EngineStream;
 use crate::Snapshot;
-use crate::StreamEnd;
 use crate::exchange::HttpClient;
 use crate::exchange::exchange;
 use crate::exchange::read_body;
 use crate::exchange::within;
-use crate::lines::Lines;
 
 /// The header in which an engine names its incarnation.
 const INCARNATION_HEADER: &str = "x-engine-incarnation";
@@ -97,57 +95,6 @@
     blocks: Vec<u64>,
 }
 
-#[derive(Deserialize)]
-struct EventLine {
-    sequence: u64,
-    incarnation: u64,
-    kind: EventWord,
-    block: u64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum EventWord {
-    Stored,
-    Evicted,
-}
-
-#[derive(Deserialize)]
-struct StreamLine {
-    #[serde(default)]
-    choices: Vec<Choice>,
-    usage: Option<Usage>,
-}
-
-#[derive(Deserialize)]
-struct Choice {
-    #[serde(default)]
-    text: String,
-    #[serde(default)]
-    delta: Delta,
-    finish_reason: Option<String>,
-}
-
-#[derive(Default, Deserialize)]
-struct Delta {
-    #[serde(default)]
-    content: String,
-}
-
-#[derive(Deserialize)]
-struct Usage {
-    prompt_tokens: u64,
-    completion_tokens: u64,
-    #[serde(default)]
-    prompt_tokens_details: PromptDetails,
-}
-
-#[derive(Default, Deserialize)]
-struct PromptDetails {
-    #[serde(default)]
-    cached_tokens: u64,
-}
-
 impl HttpEngine {
     /// Creates an adapter; no call is made yet.
     pub fn new(address: SocketAddr) -> Self {
@@ -195,11 +142,7 @@
         let body = add_fields(&call);
         let answer = self.send(Method::POST, &call.path, body).await?;
         let info = info_of(answer.headers());
-        Ok(HttpStream {
-            info,
-            lines: Lines::new(answer.into_body()),
-            end: StreamEnd::default(),
-        })
+        Ok(HttpStream::new(info, answer.into_body()))
     }
 
     async fn info(&self) -> Result<EngineInfo, EngineError> {
@@ -214,7 +157,7 @@
     async fn events(&self) -> Result<HttpEvents, EngineError> {
         let sending = self.send(Method::GET, "/v1/cache/events", Bytes::new());
         let answer = within(ASK_WAIT, LATE, sending).await?;
-        Ok(HttpEvents { lines: Lines::new(answer.into_body()) })
+        Ok(HttpEvents::new(answer.into_body()))
     }
 
     async fn snapshot(&self) -> Result<Snapshot, EngineError> {
@@ -234,84 +177,6 @@
     }
 }
 
-/// A completion in progress over HTTP.
-#[derive(Debug)]
-pub struct HttpStream {
-    info: EngineInfo,
-    lines: Lines,
-    end: StreamEnd,
-}
-
-impl EngineStream for HttpStream {
-    fn info(&self) -> &EngineInfo {
-        &self.info
-    }
-
-    async fn next(&mut self) -> Result<EngineOutput, EngineError> {
-        loop {
-            let line = self.lines.next().await.map_err(EngineError::Lost)?;
-            // An engine that dies closes its connection like one that is done.
-            // Only the last line tells the two apart.
-            let Some(line) = line else {
-                return Err(EngineError::Lost("the stream has no end mark".into()));
-            };
-            match line.trim_end().strip_prefix("data: ") {
-                None => {}
-                Some("[DONE]") => return Ok(EngineOutput::End(self.end.clone())),
-                Some(data) => {
-                    if let Some(text) = self.take(data)? {
-                        return Ok(EngineOutput::Text(text));
-                    }
-                }
-            }
-        }
-    }
-}
-
-impl HttpStream {
-    /// Takes one event; returns its text, if it has any.
-    fn take(&mut self, data: &str) -> Result<Option<String>, EngineError> {
-        let line: StreamLine =
-            serde_json::from_str(data).map_err(|e| EngineError::Lost(e.to_string()))?;
-        if let Some(usage) = line.usage {
-            self.end.prompt_tokens = usage.prompt_tokens;
-            self.end.completion_tokens = usage.completion_tokens;
-            self.end.cached_tokens = usage.prompt_tokens_details.cached_tokens;
-        }
-        let Some(choice) = line.choices.into_iter().next() else { return Ok(None) };
-        if let Some(reason) = choice.finish_reason {
-            self.end.reason = reason;
-        }
-        let text =
-            if choice.text.is_empty() { choice.delta.content } else { choice.text };
-        Ok(Some(text).filter(|text| !text.is_empty()))
-    }
-}
-
-/// The cache events of an engine over HTTP.
-#[derive(Debug)]
-pub struct HttpEvents {
-    lines: Lines,
-}
-
-impl EngineEvents for HttpEvents {
-    async fn next(&mut self) -> Result<CacheEvent, EngineError> {
-        let line = self.lines.next().await.map_err(EngineError::Lost)?;
-        let line = line.ok_or_else(|| EngineError::Lost("the events ended".into()))?;
-        let event: EventLine =
-            serde_json::from_str(&line).map_err(|e| EngineError::Lost(e.to_string()))?;
-        Ok(CacheEvent {
-            sequence: event.sequence,
-            incarnation: event.incarnation,
-            kind: match event.kind {
-                EventWord::Stored => EventKind::Stored,
-                EventWord::Evicted => EventKind::Evicted,
-            },
-            block: event.block as Fingerprint,
-        })
-    }
-}
-
 /// Adds the sidecar's fields to the caller's JSON object.
 ///
 /// The entry has taken fields of these names out, so that no caller can choose
--- /dev/null
+++ b/crates/bilberry-sidecar/src/engine_http/events.rs
@@ -0,0 +1,57 @@
+//! The cache events of an engine over HTTP, one JSON line each.
+
+use bilberry_core::CacheEvent;
+use bilberry_core::EventKind;
+use bilberry_core::Fingerprint;
+use hyper::body::Incoming;
+use serde::Deserialize;
+
+use crate::EngineError;
+use crate::EngineEvents;
+use crate::lines::Lines;
+
+/// The cache events of an engine over HTTP.
+#[derive(Debug)]
+pub struct HttpEvents {
+    lines: Lines,
+}
+
+#[derive(Deserialize)]
+struct EventLine {
+    sequence: u64,
+    incarnation: u64,
+    kind: EventWord,
+    block: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum EventWord {
+    Stored,
+    Evicted,
+}
+
+impl HttpEvents {
+    /// Reads the events from the body of an answer.
+    pub(super) fn new(body: Incoming) -> Self {
+        Self { lines: Lines::new(body) }
+    }
+}
+
+impl EngineEvents for HttpEvents {
+    async fn next(&mut self) -> Result<CacheEvent, EngineError> {
+        let line = self.lines.next().await.map_err(EngineError::Lost)?;
+        let line = line.ok_or_else(|| EngineError::Lost("the events ended".into()))?;
+        let event: EventLine =
+            serde_json::from_str(&line).map_err(|e| EngineError::Lost(e.to_string()))?;
+        Ok(CacheEvent {
+            sequence: event.sequence,
+            incarnation: event.incarnation,
+            kind: match event.kind {
+                EventWord::Stored => EventKind::Stored,
+                EventWord::Evicted => EventKind::Evicted,
+            },
+            block: event.block as Fingerprint,
+        })
+    }
+}
