--- a/crates/bilberry-gateway/src/lib.rs
+++ b/crates/bilberry-gateway/src/lib.rs
@@ -15,6 +15,8 @@
 mod job;
 mod metrics;
 mod pace;
+mod passing;
+mod plain_answer;
 mod policy;
 mod prompt_keys;
 mod prompt_store;
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -1,4 +1,4 @@
-//! Passing an upstream's answer on to the caller.
+//! Passing a stream on to the caller, and resuming it where that is allowed.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,33 +7,21 @@
 use bilberry_core::EventSplitter;
 use bilberry_node::BodyPiece;
 use bilberry_node::OutBody;
-use bytes::Bytes;
-use bytes::BytesMut;
 use http_body_util::BodyExt;
-use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
-use tokio::time::timeout;
 
 use crate::CallKind;
 use crate::Dialect;
 use crate::Gateway;
 use crate::Job;
-use crate::Refusal;
 use crate::Upstream;
 use crate::forward::Answer;
-use crate::record::write_outcome;
-
-/// The largest plain answer that is read whole before it is passed on.
-///
-/// Read whole, an answer that breaks off can still be had from another upstream.
-const WHOLE_ANSWER_BYTES: usize = 256 * 1024;
-
-/// How many pieces of a stream may wait for a slow caller.
-const PIECES_AHEAD: usize = 16;
+use crate::passing::Ended;
+use crate::passing::PIECES_AHEAD;
 
 /// How many times its longest pause a stream may be silent before it is resumed.
 const SILENT_PAUSES: u64 = 4;
@@ -47,33 +35,6 @@
 /// The silence after which a stream without a stated pause is resumed.
 const DEFAULT_SILENCE_MS: u64 = 1_000;
 
-/// How a stream came to its end.
-#[derive(Debug, Copy, Clone, PartialEq, Eq)]
-enum Ended {
-    Whole,
-    Broken(&'static str),
-    CallerLeft,
-    Expired,
-}
-
-impl Ended {
-    /// Returns the word for logs and metrics.
-    fn outcome(self) -> &'static str {
-        match self {
-            Self::Whole => "served",
-            Self::Broken(_) => "broken",
-            Self::CallerLeft => "caller_left",
-            Self::Expired => "cut_at_deadline",
-        }
-    }
-}
-
-/// A plain answer, or as much of it as is held back.
-pub(crate) enum PlainAnswer {
-    Whole(Response<OutBody>),
-    Long(Answer, Bytes),
-}
-
 /// Returns once the sidecar says that the upstream is gone and nothing has come from
 /// it for a while since.
 ///
@@ -84,103 +45,7 @@
     sleep(LOST_SILENCE).await;
 }
 
-/// Reads a body up to the size that is held back; false if there is more.
-async fn read_up_to(
-    answer: &mut Answer,
-    read: &mut BytesMut,
-) -> Result<bool, hyper::Error> {
-    while let Some(frame) = answer.response.body_mut().frame().await {
-        if let Ok(data) = frame?.into_data() {
-            read.extend_from_slice(&data);
-        }
-        if read.len() > WHOLE_ANSWER_BYTES {
-            return Ok(false);
-        }
-    }
-    Ok(true)
-}
-
 impl<D: Dialect, C: Clock> Gateway<D, C> {
-    /// Reads a plain answer whole, unless it is long; an error if it breaks off.
-    pub(crate) async fn read_whole(
-        &self,
-        job: &mut Job,
-        mut answer: Answer,
-    ) -> Result<PlainAnswer, Refusal> {
-        self.note_prompt_read(job, &mut answer.seat);
-        let left = job.deadline.left(self.clock.now());
-        let mut read = BytesMut::new();
-        let reading = read_up_to(&mut answer, &mut read);
-        let is_whole = match timeout(left, reading).await {
-            Ok(Ok(is_whole)) => is_whole,
-            Ok(Err(error)) => {
-                job.detail = format!("the answer broke off: {error}");
-                return Err(Refusal::Unanswered);
-            }
-            Err(_) => return Err(Refusal::Expired),
-        };
-        self.note_first_byte(job);
-        let begun = read.freeze();
-        if !is_whole {
-            return Ok(PlainAnswer::Long(answer, begun));
-        }
-        let (head, _) = answer.response.into_parts();
-        self.connections.keep(answer.connection, &head.headers);
-        let body = OutBody::whole(begun);
-        Ok(PlainAnswer::Whole(self.caller_answer(head.status, &head.headers, body)))
-    }
-
-    /// Passes a long plain answer on, of which `begun` has been read.
-    ///
-    /// It is not held back until it is whole, so one that breaks off is cut.
-    pub(crate) fn pass_on(
-        self: Arc<Self>,
-        job: Job,
-        mut answer: Answer,
-        begun: Bytes,
-    ) -> Response<OutBody> {
-        let (pieces, body) = mpsc::channel(PIECES_AHEAD);
-        let head = answer.response.headers();
-        let body = OutBody::Stream(body);
-        let started = self.caller_answer(answer.response.status(), head, body);
-        tokio::spawn(async move {
-            let ended = self.pass_all(&job, &mut answer, begun, &pieces).await;
-            self.conclude(&job, ended.outcome());
-            if ended == Ended::Whole {
-                let headers = answer.response.headers().clone();
-                self.connections.keep(answer.connection, &headers);
-                let _ = pieces.send(BodyPiece::End).await;
-            }
-        });
-        started
-    }
-
-    async fn pass_all(
-        &self,
-        job: &Job,
-        answer: &mut Answer,
-        begun: Bytes,
-        pieces: &mpsc::Sender<BodyPiece>,
-    ) -> Ended {
-        let mut next = begun;
-        loop {
-            if pieces.send(BodyPiece::Data(next)).await.is_err() {
-                return Ended::CallerLeft;
-            }
-            let left = job.deadline.left(self.clock.now());
-            let frame = tokio::select! {
-                frame = answer.response.body_mut().frame() => frame,
-                _ = pieces.closed() => return Ended::CallerLeft,
-                _ = sleep(left) => return Ended::Expired,
-            };
-            next = match frame {
-                None => return Ended::Whole,
-                Some(Err(_)) => return Ended::Broken("broke off"),
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-            };
-        }
-    }
-
     /// Passes a stream on as it comes, and resumes it where that is allowed.
     pub(crate) fn relay(
         self: Arc<Self>,
@@ -316,35 +181,6 @@
         let took_ms = self.clock.now().ms_since(job.arrived_at) - first_byte_ms;
         self.pace.note_answer(&job.pool.name, took_ms, job.call.output_tokens);
     }
-
-    fn note_first_byte(&self, job: &mut Job) {
-        let first_byte_ms = self.clock.now().ms_since(job.arrived_at);
-        job.first_byte_ms = Some(first_byte_ms);
-        self.metrics.first_byte_seconds.observe(first_byte_ms as f64 / 1_000.0);
-    }
-
-    fn caller_answer(
-        &self,
-        status: StatusCode,
-        headers: &HeaderMap,
-        body: OutBody,
-    ) -> Response<OutBody> {
-        let mut answer = Response::new(body);
-        *answer.status_mut() = status;
-        *answer.headers_mut() = self.dialect.answer_headers(headers);
-        answer
-    }
-
-    /// Counts and logs what became of a request.
-    pub(crate) fn conclude(&self, job: &Job, outcome: &'static str) {
-        self.metrics.count_request(outcome);
-        let plain_success = outcome == "served" && job.sends == 1;
-        if self.lines.spend(self.clock.now(), plain_success) {
-            write_outcome(job, outcome, &self.clock);
-        } else {
-            self.metrics.dropped_lines.inc();
-        }
-    }
 }
 
 /// Reports whether an answer is an event stream.
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -27,7 +27,7 @@
 use crate::Policy;
 use crate::Refusal;
 use crate::forward::Answer;
-use crate::relay::PlainAnswer;
+use crate::plain_answer::PlainAnswer;
 use crate::relay::is_stream;
 
 /// How long a body may take to arrive.
