--- /dev/null
+++ b/tests/src/fleet/observe.rs
@@ -0,0 +1,106 @@
+//! What a test can see of its fleet, and wait for.
+
+use bilberry_standins::EngineCounters;
+use bilberry_standins::PlatformCounters;
+use bilberry_standins::ServiceCounters;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::Fleet;
+use crate::Running;
+use crate::eventually;
+use crate::send;
+
+impl Fleet {
+    /// Returns the state of all processes as one entry sees it.
+    pub async fn status(&self, entry: usize) -> Vec<Value> {
+        match self.admin(entry, "GET", "/v1/status", "").await {
+            Ok(reply) => reply.json().as_array().cloned().unwrap_or_default(),
+            Err(_) => Vec::new(),
+        }
+    }
+
+    /// Returns what an engine counted.
+    pub async fn engine(&self, at: usize) -> EngineCounters {
+        self.counters(&self.upstreams[at]).await
+    }
+
+    /// Returns what all engines counted, added up.
+    pub async fn engine_runs(&self) -> u64 {
+        let mut runs = 0;
+        for at in 0..self.plan.engines.len() {
+            runs += self.engine(at).await.runs;
+        }
+        runs
+    }
+
+    /// Returns how often all servers together ran the call with a key.
+    pub async fn runs_of(&self, key: &str) -> u64 {
+        let mut runs = 0;
+        for at in self.plan.engines.len()..self.upstreams.len() {
+            let counters: ServiceCounters = self.counters(&self.upstreams[at]).await;
+            runs += counters.by_key.get(key).copied().unwrap_or(0);
+        }
+        runs
+    }
+
+    /// Returns the calls that the platform counted.
+    pub async fn platform_calls(&self) -> PlatformCounters {
+        self.counters(&self.platform).await
+    }
+
+    /// Returns a metric of a process.
+    pub async fn metric(&self, process: &Running, name: &str) -> Option<f64> {
+        let url = format!("http://{}/metrics", process.address("operations"));
+        let reply = send("GET", &url, &[], "").await.ok()?;
+        let text = String::from_utf8_lossy(&reply.body).into_owned();
+        let line = text.lines().find(|line| line.starts_with(name))?;
+        line.rsplit(' ').next()?.parse().ok()
+    }
+
+    /// Waits until every entry is ready and every sidecar knows its upstream.
+    pub async fn wait_until_ready(&self) {
+        for process in self.entries.iter().chain(&self.sidecars) {
+            self.wait_ready(process).await;
+        }
+        let sidecars = self.sidecars.len();
+        for at in 0..self.entries.len() {
+            eventually("all sidecars answer", || async {
+                let status = self.status(at).await;
+                let ready = status.iter().filter(|s| {
+                    let is_engine =
+                        s["upstream"].as_str().is_some_and(|u| u.starts_with('e'));
+                    let knows_weights = !is_engine || s["weights"] != "";
+                    s["role"] == "sidecar" && s["answers"] == true && knows_weights
+                });
+                (ready.count() == sidecars).then_some(())
+            })
+            .await;
+        }
+    }
+
+    /// Waits until a process says that it is ready.
+    pub async fn wait_ready(&self, process: &Running) {
+        let url = format!("http://{}/readyz", process.address("operations"));
+        eventually("a process gets ready", || async {
+            let reply = send("GET", &url, &[], "").await.ok()?;
+            (reply.status == 200).then_some(())
+        })
+        .await;
+    }
+
+    /// Waits until a process has a revision in force.
+    pub async fn wait_revision(&self, process: &Running, revision: u64) {
+        eventually("a revision gets in force", || async {
+            let found = self.metric(process, "bilberry_config_revision").await?;
+            (found >= revision as f64).then_some(())
+        })
+        .await;
+    }
+
+    async fn counters<T: DeserializeOwned>(&self, standin: &Running) -> T {
+        let url = format!("http://{}/standin/counters", standin.address("address"));
+        let reply = send("GET", &url, &[], "").await.expect("a stand-in answers");
+        serde_json::from_slice(&reply.body).expect("counters are JSON")
+    }
+}
