--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -27,7 +27,7 @@
 use crate::Policy;
 use crate::Refusal;
 use crate::forward::Answer;
-use crate::relay::PlainAnswer;
+use crate::plain_answer::PlainAnswer;
 use crate::relay::is_stream;
 
 /// How long a body may take to arrive.
@@ -148,6 +148,7 @@
             backup: None,
             weights: None,
             lacking_ms: None,
+            prompt_keys: Vec::new(),
             waited_ms: 0,
             first_byte_ms: None,
             detail: String::new(),
--- a/crates/bilberry-sidecar/src/engine_http.rs
+++ b/crates/bilberry-sidecar/src/engine_http.rs
@@ -1,16 +1,15 @@
 //! An engine with an OpenAI-style interface over HTTP.
 
+mod events;
+mod stream;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bilberry_core::CacheEvent;
-use bilberry_core::EventKind;
 use bilberry_core::Fingerprint;
 use bytes::Bytes;
 use bytes::BytesMut;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
@@ -18,23 +17,22 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::time::timeout;
 
+use self::events::HttpEvents;
+use self::stream::HttpStream;
 use crate::Engine;
 use crate::EngineCall;
 use crate::EngineError;
-use crate::EngineEvents;
 use crate::EngineInfo;
-use crate::EngineOutput;
-use crate::EngineStream;
 use crate::Snapshot;
-use crate::StreamEnd;
-use crate::lines::Lines;
+use crate::exchange::HttpClient;
+use crate::exchange::exchange;
+use crate::exchange::read_body;
+use crate::exchange::within;
 
 /// The header in which an engine names its incarnation.
 const INCARNATION_HEADER: &str = "x-engine-incarnation";
@@ -45,6 +43,9 @@
 /// How long a question that is no completion may take.
 const ASK_WAIT: Duration = Duration::from_millis(1_000);
 
+/// What is said of an engine that does not answer in time.
+const LATE: &str = "no answer in time";
+
 /// How long an order to load weights may take.
 const LOAD_WAIT: Duration = Duration::from_millis(30_000);
 
@@ -54,7 +55,7 @@
 /// An engine over HTTP.
 #[derive(Debug, Clone)]
 pub struct HttpEngine {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: HttpClient,
     address: SocketAddr,
 }
 
@@ -94,57 +95,6 @@
     blocks: Vec<u64>,
 }
 
-#[derive(Deserialize)]
-struct EventLine {
-    sequence: u64,
-    incarnation: u64,
-    kind: EventWord,
-    block: u64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum EventWord {
-    Stored,
-    Evicted,
-}
-
-#[derive(Deserialize)]
-struct StreamLine {
-    #[serde(default)]
-    choices: Vec<Choice>,
-    usage: Option<Usage>,
-}
-
-#[derive(Deserialize)]
-struct Choice {
-    #[serde(default)]
-    text: String,
-    #[serde(default)]
-    delta: Delta,
-    finish_reason: Option<String>,
-}
-
-#[derive(Default, Deserialize)]
-struct Delta {
-    #[serde(default)]
-    content: String,
-}
-
-#[derive(Deserialize)]
-struct Usage {
-    prompt_tokens: u64,
-    completion_tokens: u64,
-    #[serde(default)]
-    prompt_tokens_details: PromptDetails,
-}
-
-#[derive(Default, Deserialize)]
-struct PromptDetails {
-    #[serde(default)]
-    cached_tokens: u64,
-}
-
 impl HttpEngine {
     /// Creates an adapter; no call is made yet.
     pub fn new(address: SocketAddr) -> Self {
@@ -164,14 +114,7 @@
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .map_err(|error| EngineError::Lost(error.to_string()))?;
-        let answer = match self.client.request(request).await {
-            Ok(answer) => answer,
-            // Only a connection that never opened proves that nothing ran.
-            Err(error) if error.is_connect() => {
-                return Err(EngineError::Unreachable(error.to_string()));
-            }
-            Err(error) => return Err(EngineError::Lost(error.to_string())),
-        };
+        let answer = exchange(&self.client, request).await?;
         match answer.status() {
             status if status.is_success() => Ok(answer),
             status => {
@@ -187,7 +130,7 @@
             let text = read_text(answer).await?;
             serde_json::from_str(&text).map_err(|e| EngineError::Lost(e.to_string()))
         };
-        within(ASK_WAIT, asking).await
+        within(ASK_WAIT, LATE, asking).await
     }
 }
 
@@ -199,11 +142,7 @@
         let body = add_fields(&call);
         let answer = self.send(Method::POST, &call.path, body).await?;
         let info = info_of(answer.headers());
-        Ok(HttpStream {
-            info,
-            lines: Lines::new(answer.into_body()),
-            end: StreamEnd::default(),
-        })
+        Ok(HttpStream::new(info, answer.into_body()))
     }
 
     async fn info(&self) -> Result<EngineInfo, EngineError> {
@@ -217,8 +156,8 @@
 
     async fn events(&self) -> Result<HttpEvents, EngineError> {
         let sending = self.send(Method::GET, "/v1/cache/events", Bytes::new());
-        let answer = within(ASK_WAIT, sending).await?;
-        Ok(HttpEvents { lines: Lines::new(answer.into_body()) })
+        let answer = within(ASK_WAIT, LATE, sending).await?;
+        Ok(HttpEvents::new(answer.into_body()))
     }
 
     async fn snapshot(&self) -> Result<Snapshot, EngineError> {
@@ -234,85 +173,7 @@
         let order = serde_json::to_vec(&LoadOrder { weights, fencing });
         let order = Bytes::from(order.unwrap_or_default());
         let sending = self.send(Method::POST, "/v1/orders/load", order);
-        within(LOAD_WAIT, sending).await.map(|_| ())
-    }
-}
-
-/// A completion in progress over HTTP.
-#[derive(Debug)]
-pub struct HttpStream {
-    info: EngineInfo,
-    lines: Lines,
-    end: StreamEnd,
-}
-
-impl EngineStream for HttpStream {
-    fn info(&self) -> &EngineInfo {
-        &self.info
-    }
-
-    async fn next(&mut self) -> Result<EngineOutput, EngineError> {
-        loop {
-            let line = self.lines.next().await.map_err(EngineError::Lost)?;
-            // An engine that dies closes its connection like one that is done.
-            // Only the last line tells the two apart.
-            let Some(line) = line else {
-                return Err(EngineError::Lost("the stream has no end mark".into()));
-            };
-            match line.trim_end().strip_prefix("data: ") {
-                None => {}
-                Some("[DONE]") => return Ok(EngineOutput::End(self.end.clone())),
-                Some(data) => {
-                    if let Some(text) = self.take(data)? {
-                        return Ok(EngineOutput::Text(text));
-                    }
-                }
-            }
-        }
-    }
-}
-
-impl HttpStream {
-    /// Takes one event; returns its text, if it has any.
-    fn take(&mut self, data: &str) -> Result<Option<String>, EngineError> {
-        let line: StreamLine =
-            serde_json::from_str(data).map_err(|e| EngineError::Lost(e.to_string()))?;
-        if let Some(usage) = line.usage {
-            self.end.prompt_tokens = usage.prompt_tokens;
-            self.end.completion_tokens = usage.completion_tokens;
-            self.end.cached_tokens = usage.prompt_tokens_details.cached_tokens;
-        }
-        let Some(choice) = line.choices.into_iter().next() else { return Ok(None) };
-        if let Some(reason) = choice.finish_reason {
-            self.end.reason = reason;
-        }
-        let text =
-            if choice.text.is_empty() { choice.delta.content } else { choice.text };
-        Ok(Some(text).filter(|text| !text.is_empty()))
-    }
-}
-
-/// The cache events of an engine over HTTP.
-#[derive(Debug)]
-pub struct HttpEvents {
-    lines: Lines,
-}
-
-impl EngineEvents for HttpEvents {
-    async fn next(&mut self) -> Result<CacheEvent, EngineError> {
-        let line = self.lines.next().await.map_err(EngineError::Lost)?;
-        let line = line.ok_or_else(|| EngineError::Lost("the events ended".into()))?;
-        let event: EventLine =
-            serde_json::from_str(&line).map_err(|e| EngineError::Lost(e.to_string()))?;
-        Ok(CacheEvent {
-            sequence: event.sequence,
-            incarnation: event.incarnation,
-            kind: match event.kind {
-                EventWord::Stored => EventKind::Stored,
-                EventWord::Evicted => EventKind::Evicted,
-            },
-            block: event.block as Fingerprint,
-        })
+        within(LOAD_WAIT, LATE, sending).await.map(|_| ())
     }
 }
 
@@ -349,17 +210,6 @@
 }
 
 async fn read_text(answer: Response<Incoming>) -> Result<String, EngineError> {
-    let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect().await;
-    let body = body.map_err(|error| EngineError::Lost(error.to_string()))?;
-    Ok(String::from_utf8_lossy(&body.to_bytes()).into_owned())
-}
-
-async fn within<T>(
-    wait: Duration,
-    asking: impl Future<Output = Result<T, EngineError>>,
-) -> Result<T, EngineError> {
-    match timeout(wait, asking).await {
-        Ok(answer) => answer,
-        Err(_) => Err(EngineError::Lost("no answer in time".to_string())),
-    }
+    let body = read_body(answer, MAX_ANSWER_BYTES).await?;
+    Ok(String::from_utf8_lossy(&body).into_owned())
 }
