An object that can't be understood names no server, hides no other, stops no watch

An entry of a service that nobody names took the address of a server in use.

One line and one count for each change of such an object (unreadable). Servers of services that are not named are held back until one configuration names them. The feed of a sidecar belongs to the upstream, not to its identity: after a server was taken off and put back between two looks, nobody heard its sidecar.

--- a/crates/bilberry-gateway/src/feeds.rs
+++ b/crates/bilberry-gateway/src/feeds.rs
@@ -38,26 +38,38 @@
 /// How long a lost sidecar is left alone.
 const PAUSE: Duration = Duration::from_millis(300);
 
+/// The feed of one upstream.
+struct Feed {
+    upstream: Arc<Upstream>,
+    task: JoinHandle<()>,
+}
+
 /// Keeps a connection to the sidecar of each engine, for as long as it is listed.
 pub async fn follow_sidecars<D: Dialect, C: Clock>(
     gateway: Arc<Gateway<D, C>>,
     sidecar_port: u16,
 ) {
-    let mut feeds: HashMap<Name, JoinHandle<()>> = HashMap::new();
+    let mut feeds: HashMap<Name, Feed> = HashMap::new();
     loop {
         let upstreams = gateway.upstreams.all();
         feeds.retain(|id, feed| {
-            let listed = upstreams.iter().any(|upstream| upstream.id == *id);
-            if !listed {
-                feed.abort();
+            // An identity that was gone between two looks and is back is an upstream
+            // of its own. A feed of the one before would tell what nobody reads.
+            let listed = upstreams.iter().find(|upstream| upstream.id == *id);
+            let keep =
+                listed.is_some_and(|upstream| Arc::ptr_eq(upstream, &feed.upstream));
+            if !keep {
+                feed.task.abort();
             }
-            listed
+            keep
         });
         for upstream in upstreams.iter().filter(|upstream| is_engine(&gateway, upstream))
         {
             feeds.entry(upstream.id.clone()).or_insert_with(|| {
                 let address = SocketAddr::new(upstream.address.ip(), sidecar_port);
-                tokio::spawn(follow(gateway.clone(), upstream.clone(), address))
+                let task =
+                    tokio::spawn(follow(gateway.clone(), upstream.clone(), address));
+                Feed { upstream: upstream.clone(), task }
             });
         }
         sleep(LOOK_EVERY).await;
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -128,6 +128,7 @@
             "in force"
         );
         self.metrics.config_version.set(policy.version as i64);
+        self.upstreams.name_pools(policy.pools.keys().cloned());
         self.policy.store(Some(Arc::new(policy)));
     }
 
--- a/crates/bilberry-gateway/src/metrics.rs
+++ b/crates/bilberry-gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Mutex;
 
+use bilberry_node::UnreadableObjects;
 use bilberry_node::render_metrics;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -37,6 +38,8 @@
     pub resumed: Counter,
     /// The configuration's version in force.
     pub config_version: Gauge,
+    /// Objects of the platform's store that were not understood.
+    pub unreadable: UnreadableObjects,
     /// Log lines that were dropped.
     pub dropped_lines: Counter,
 }
@@ -53,6 +56,7 @@
             wait_seconds: histogram(),
             resumed: Counter::default(),
             config_version: Gauge::default(),
+            unreadable: UnreadableObjects::default(),
             dropped_lines: Counter::default(),
         };
         metrics.register();
@@ -70,6 +74,7 @@
         registry.register("resumed", "Streams continued", self.resumed.clone());
         let version = self.config_version.clone();
         registry.register("config_version", "Configuration in force", version);
+        self.unreadable.register(&mut registry);
         let dropped = self.dropped_lines.clone();
         registry.register("dropped_lines", "Log lines dropped", dropped);
     }
--- a/crates/bilberry-node/src/lib.rs
+++ b/crates/bilberry-node/src/lib.rs
@@ -19,6 +19,7 @@
 mod registration;
 mod sync;
 mod sync_actor;
+mod unreadable;
 mod watch;
 
 pub use body::CutShort;
@@ -61,3 +62,4 @@
 pub use sync_actor::PIECES_PREFIX;
 pub use sync_actor::PeerAhead;
 pub use sync_actor::SyncActor;
+pub use unreadable::UnreadableObjects;
--- /dev/null
+++ b/crates/bilberry-node/src/unreadable.rs
@@ -0,0 +1,36 @@
+//! The count of objects that a process could not understand.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::registry::Registry;
+
+/// The label of the counter of unreadable objects.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabel {
+    kind: &'static str,
+}
+
+/// Counts objects of the platform's store that can't be understood, by kind.
+#[derive(Debug, Clone, Default)]
+pub struct UnreadableObjects {
+    by_kind: Family<KindLabel, Counter>,
+}
+
+impl UnreadableObjects {
+    /// Adds the counter to a process's metrics.
+    pub fn register(&self, registry: &mut Registry) {
+        let help = "Changes of objects in the store that were not understood";
+        registry.register("unreadable_objects", help, self.by_kind.clone());
+    }
+
+    /// Shows the counter of a kind as zero, so that its first step can be seen.
+    pub fn declare(&self, kind: &'static str) {
+        drop(self.by_kind.get_or_create(&KindLabel { kind }));
+    }
+
+    /// Counts one object.
+    pub fn count(&self, kind: &'static str) {
+        self.by_kind.get_or_create(&KindLabel { kind }).inc();
+    }
+}
--- a/crates/bilberry-steward/src/metrics.rs
+++ b/crates/bilberry-steward/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Mutex;
 
+use bilberry_node::UnreadableObjects;
 use bilberry_node::render_metrics;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -38,6 +39,8 @@
     pub queued: Gauge,
     /// Tokens of the engine's memory that can't be freed now.
     pub used_tokens: Gauge,
+    /// Objects of the platform's store that were not understood.
+    pub unreadable: UnreadableObjects,
 }
 
 impl StewardMetrics {
@@ -52,6 +55,7 @@
             running: Gauge::default(),
             queued: Gauge::default(),
             used_tokens: Gauge::default(),
+            unreadable: UnreadableObjects::default(),
         };
         metrics.register();
         metrics
@@ -70,6 +74,7 @@
         registry.register("queued", "Requests that wait", self.queued.clone());
         let used = self.used_tokens.clone();
         registry.register("used_tokens", "Tokens of memory in use", used);
+        self.unreadable.register(&mut registry);
     }
 
     /// Counts an order.
--- a/crates/bilberryd/src/hosted.rs
+++ b/crates/bilberryd/src/hosted.rs
@@ -175,8 +175,6 @@
     let engine = settings.engine.ok_or(HostedError::NoAddress("the engine"))?;
     let clock = BootClock::new();
     let newest = Arc::new(Newest::default());
-    let weights = WeightsFollower { newest: newest.clone(), clock };
-    tokio::spawn(follow(ObjectStore::new(settings.store), clock, weights));
     let holder = settings.host.to_string();
     let cache = Arc::new(CacheView::new());
     // A client of its own: a question for events that waits must not hold up the
@@ -190,6 +188,9 @@
         cache.clone(),
     );
     let steward = Arc::new(steward);
+    let unreadable = steward.metrics.unreadable.clone();
+    let weights = WeightsFollower { newest: newest.clone(), clock, unreadable };
+    tokio::spawn(follow(ObjectStore::new(settings.store), clock, weights));
     let feed = bind("peers", SocketAddr::new(settings.bind, settings.peers_port)).await?;
     let status = Arc::new(StatusPage { process: steward.clone() });
     let _metrics = serve_metrics(&settings, status).await?;
