--- a/crates/bilberry-gateway/src/metrics.rs
+++ b/crates/bilberry-gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Mutex;
 
+use bilberry_node::UnreadableObjects;
 use bilberry_node::render_metrics;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -41,6 +42,8 @@
     pub kept_upstreams: Gauge,
     /// The configuration's version in force.
     pub config_version: Gauge,
+    /// Objects of the platform's store that were not understood.
+    pub unreadable: UnreadableObjects,
     /// Log lines that were dropped.
     pub dropped_lines: Counter,
 }
@@ -59,6 +62,7 @@
             placed_on_older_weights: Counter::default(),
             kept_upstreams: Gauge::default(),
             config_version: Gauge::default(),
+            unreadable: UnreadableObjects::default(),
             dropped_lines: Counter::default(),
         };
         metrics.register();
@@ -82,6 +86,7 @@
         registry.register("kept_upstreams", help, kept);
         let version = self.config_version.clone();
         registry.register("config_version", "Configuration in force", version);
+        self.unreadable.register(&mut registry);
         let dropped = self.dropped_lines.clone();
         registry.register("dropped_lines", "Log lines dropped", dropped);
     }
