An upstream is known by its identity and its start

A server may start again under its identity, and holds and knows nothing of before. Until now a restart was taken to bring a new identity: `born` was read nowhere, an engine that restarted under its identity was taken for replaced and never used again, and weights, parts, leaving, seats and failures stayed.

What the cache chose at its start is now called its epoch, as the platform does. - Entry: one `Upstream` value is one incarnation. A later start, told by list or sidecar, puts a fresh value in its place; the earlier one is marked as ended and lost. Earlier starts change nothing. Feeds look the upstream up by id for each message. `tried` holds incarnations, not identities. - Sidecar: a report of a later start resets what is remembered; an earlier one counts as no answer. Cache answers of an earlier start are not taken in. - Entries without the field count until one that is understood has it.

Changed test: knowledge.rs passes the giver to `KeptParts::note`, nothing else.

--- a/crates/bilberry-gateway/src/dispatch.rs
+++ b/crates/bilberry-gateway/src/dispatch.rs
@@ -114,13 +114,15 @@
     /// Notes that the answer has begun, so that the prompt has been read.
     pub(crate) fn note_prompt_read(&self, job: &Job, seat: &mut Seat) {
         seat.prompt_is_read();
-        let Some(weights) = job.weights else { return };
+        let Some(weights) = job.weights.filter(|_| !seat.upstream.has_ended()) else {
+            return;
+        };
         let now = self.clock.now();
         let salt = job.salt(weights);
         for part in job.call.shared_parts() {
             let key = part_key(&salt, part.id);
             seat.upstream.expect_part(key, now);
-            self.kept.note(key, now);
+            self.kept.note(&seat.upstream.id, key, now);
         }
     }
 }
--- a/crates/bilberry-gateway/src/feeds.rs
+++ b/crates/bilberry-gateway/src/feeds.rs
@@ -43,11 +43,15 @@
     gateway: Arc<Gateway<D, C>>,
     sidecar_port: u16,
 ) {
-    let mut feeds: HashMap<Name, JoinHandle<()>> = HashMap::new();
+    let mut feeds: HashMap<(Name, SocketAddr), JoinHandle<()>> = HashMap::new();
     loop {
         let upstreams = gateway.upstreams.all();
-        feeds.retain(|id, feed| {
-            let listed = upstreams.iter().any(|upstream| upstream.id == *id);
+        let place = |upstream: &Upstream| {
+            let address = SocketAddr::new(upstream.address.ip(), sidecar_port);
+            (upstream.id.clone(), address)
+        };
+        feeds.retain(|followed, feed| {
+            let listed = upstreams.iter().any(|upstream| place(upstream) == *followed);
             if !listed {
                 feed.abort();
             }
@@ -55,9 +59,8 @@
         });
         for upstream in upstreams.iter().filter(|upstream| is_engine(&gateway, upstream))
         {
-            feeds.entry(upstream.id.clone()).or_insert_with(|| {
-                let address = SocketAddr::new(upstream.address.ip(), sidecar_port);
-                tokio::spawn(follow(gateway.clone(), upstream.clone(), address))
+            feeds.entry(place(upstream)).or_insert_with_key(|(id, address)| {
+                tokio::spawn(follow(gateway.clone(), id.clone(), *address))
             });
         }
         sleep(LOOK_EVERY).await;
@@ -72,18 +75,20 @@
 
 async fn follow<D: Dialect, C: Clock>(
     gateway: Arc<Gateway<D, C>>,
-    upstream: Arc<Upstream>,
+    id: Name,
     address: SocketAddr,
 ) {
     let mut told = false;
     loop {
-        let outcome = listen(&gateway, &upstream, address, &mut told).await;
-        upstream.forget_feed();
-        gateway.kept.forget_teller(&upstream.id);
+        let outcome = listen(&gateway, &id, address, &mut told).await;
+        if let Some(upstream) = gateway.upstreams.get(&id) {
+            upstream.forget_feed();
+        }
+        gateway.kept.forget_teller(&id);
         if std::mem::take(&mut told) {
             let reason =
                 outcome.err().map_or_else(String::new, |error| error.to_string());
-            log::info!(target: "sidecar", upstream = upstream.id.as_str(), reason = reason.as_str(); "lost");
+            log::info!(target: "sidecar", upstream = id.as_str(), reason = reason.as_str(); "lost");
         }
         sleep(PAUSE).await;
     }
@@ -91,7 +96,7 @@
 
 async fn listen<D: Dialect, C: Clock>(
     gateway: &Gateway<D, C>,
-    upstream: &Arc<Upstream>,
+    id: &Name,
     address: SocketAddr,
     told: &mut bool,
 ) -> Result<(), WireError> {
@@ -102,9 +107,11 @@
     let mut framed = Framed::new(stream, FrameCodec::new());
     let mut noticed = None;
     loop {
-        let notice = notice(gateway, upstream);
+        // Looked up each time, as another incarnation may have taken its place.
+        let Some(upstream) = gateway.upstreams.get(id) else { return Ok(()) };
+        let notice = notice(gateway, &upstream);
         if notice.prompt_store.is_empty() {
-            gateway.kept.forget_teller(&upstream.id);
+            gateway.kept.forget_teller(id);
         }
         if noticed.as_ref() != Some(&notice) {
             let body = Some(Body::EntryNotice(notice.clone()));
@@ -116,11 +123,11 @@
         let state = match frame?.body {
             Some(Body::UpstreamState(state)) => Some(state),
             Some(Body::CacheChange(change)) => {
-                gateway.note_cache(upstream, &change);
+                gateway.note_cache(id, &change);
                 None
             }
             Some(Body::StoreChange(change)) => {
-                gateway.kept.tell(&upstream.id, &change);
+                gateway.kept.tell(id, &change);
                 None
             }
             _ => None,
@@ -128,10 +135,9 @@
         if let Some(state) = state {
             if !std::mem::replace(told, true) {
                 let address = address.to_string();
-                log::info!(target: "sidecar", upstream = upstream.id.as_str(), address = address.as_str(); "heard");
+                log::info!(target: "sidecar", upstream = id.as_str(), address = address.as_str(); "heard");
             }
-            upstream.feed(state, gateway.clock.now());
-            gateway.upstreams.changed.notify_waiters();
+            gateway.hear(id, state);
         }
     }
 }
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -156,7 +156,7 @@
 
     async fn send(&self, job: &mut Job, seat: Seat) -> Sent {
         let upstream = seat.upstream.clone();
-        job.tried.push(upstream.id.clone());
+        job.tried.push(upstream.clone());
         job.backup = self.choose_backup(job, &upstream);
         let request = self.request(job, &seat, job.call.last_event, false);
         // A call that runs once gets a connection of its own. On a kept one, an
@@ -210,7 +210,7 @@
         last_event: Option<u64>,
     ) -> Option<Answer> {
         let upstream = seat.upstream.clone();
-        job.tried.push(upstream.id.clone());
+        job.tried.push(upstream.clone());
         let request = self.request(job, &seat, last_event, true);
         let mut connection = self.connections.get(upstream.address, true).await.ok()?;
         job.sends += 1;
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use bilberry_core::part_key;
 use bilberry_core::place;
 use bilberry_wire::CacheChange;
+use bilberry_wire::UpstreamState;
 use tokio::time::timeout;
 
 use crate::Call;
@@ -30,6 +31,7 @@
 use crate::Job;
 use crate::KeptParts;
 use crate::LineBudget;
+use crate::Listed;
 use crate::Pace;
 use crate::Policy;
 use crate::Refusal;
@@ -266,7 +268,7 @@
             .map(|upstream| {
                 let mut offer =
                     upstream.offer(now, &self.settings.place, job.pool.engine);
-                offer.usable &= !job.tried.contains(&upstream.id);
+                offer.usable &= !job.has_tried(upstream);
                 let weights = upstream.weights(&model, now);
                 offer.newest_weights = weights == newest.map(|(version, _)| version);
                 if let Some(version) = weights {
@@ -283,11 +285,32 @@
         Some(Seat::take(upstream, demand.memory_tokens(), missing, changed))
     }
 
-    /// Takes over a change of an upstream's cache.
-    pub(crate) fn note_cache(&self, upstream: &Upstream, change: &CacheChange) {
+    /// Takes over one line of the list of upstreams.
+    pub fn list(&self, listed: &Listed) {
+        let ended = self.upstreams.put(listed);
+        ended.iter().for_each(|ended| self.note_end(ended));
+    }
+
+    /// Takes over what the sidecar of an upstream says.
+    pub fn hear(&self, id: &Name, state: UpstreamState) {
+        let ended = self.upstreams.feed(id, state, self.clock.now());
+        ended.iter().for_each(|ended| self.note_end(ended));
+    }
+
+    /// Takes over a change of an upstream's cache, if it is the present one's.
+    pub fn note_cache(&self, id: &Name, change: &CacheChange) {
         let now = self.clock.now();
-        upstream.cache_change(change, now);
-        change.added.iter().for_each(|&key| self.kept.note(key, now));
+        if self.upstreams.cache_change(id, change, now) {
+            change.added.iter().for_each(|&key| self.kept.note(id, key, now));
+        }
+    }
+
+    /// Forgets what was known of an incarnation that is over.
+    fn note_end(&self, ended: &Upstream) {
+        // What it was to give to the store of kept prompts may never have left it.
+        self.kept.forget_giver(&ended.id);
+        self.connections.drop_idle(ended.address);
+        log::info!(target: "upstream", upstream = ended.id.as_str(); "started again");
     }
 
     /// Returns the newest weights of a model, and since when they are known.
--- a/crates/bilberry-gateway/src/held.rs
+++ b/crates/bilberry-gateway/src/held.rs
@@ -30,24 +30,41 @@
 /// upstream that reads a part under a new salt is taken to have sent it there.
 #[derive(Debug, Default)]
 pub struct KeptParts {
-    given: Mutex<HashMap<u64, UnixMs>>,
+    given: Mutex<HashMap<u64, Given>>,
     told: Mutex<HashMap<Name, HashSet<u64>>>,
 }
 
+/// A part that the store was given.
+#[derive(Debug)]
+struct Given {
+    /// The upstream that read it.
+    by: Name,
+    at: UnixMs,
+}
+
 impl KeptParts {
-    /// Notes that the store was given a part; one that it was given lately keeps
-    /// its time.
-    pub fn note(&self, key: u64, now: UnixMs) {
+    /// Notes that an upstream gives the store a part; one that it was given lately
+    /// keeps its time.
+    pub fn note(&self, giver: &Name, key: u64, now: UnixMs) {
         let mut given = self.given.lock().unwrap();
         if given.len() > CLEAR_ABOVE {
-            given.retain(|_, at| now.ms_since(*at) < KEPT_MS);
+            given.retain(|_, given| now.ms_since(given.at) < KEPT_MS);
         }
-        let at = given.entry(key).or_insert(now);
-        if now.ms_since(*at) >= KEPT_MS {
-            *at = now;
+        let fresh = || Given { by: giver.clone(), at: now };
+        let known = given.entry(key).or_insert_with(fresh);
+        if now.ms_since(known.at) >= KEPT_MS {
+            *known = fresh();
         }
     }
 
+    /// Forgets what an upstream was to give, as it has started again.
+    ///
+    /// What had not left it is lost. Taken to be kept, it would be offered again by
+    /// nobody for many seconds, and every engine would read it itself.
+    pub fn forget_giver(&self, giver: &str) {
+        self.given.lock().unwrap().retain(|_, given| given.by != giver);
+    }
+
     /// Takes over what a sidecar tells of the store.
     pub fn tell(&self, teller: &Name, change: &CacheChange) {
         let mut told = self.told.lock().unwrap();
@@ -75,7 +92,7 @@
             false => TOLD_WITHIN_MS,
         };
         let given = self.given.lock().unwrap();
-        given.get(&key).is_some_and(|at| now.ms_since(*at) < within_ms)
+        given.get(&key).is_some_and(|given| now.ms_since(given.at) < within_ms)
     }
 
     /// Forgets everything, as the store has come back empty.
--- a/crates/bilberry-gateway/src/job.rs
+++ b/crates/bilberry-gateway/src/job.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use bilberry_core::Demand;
-use bilberry_core::Name;
 use bilberry_core::OldWeights;
 use bilberry_core::UnixMs;
 use bytes::Bytes;
@@ -46,8 +45,8 @@
     pub arrived_at: UnixMs,
     /// When the caller's patience, or the route's, ends.
     pub deadline: UnixMs,
-    /// The upstreams that it was offered to.
-    pub tried: Vec<Name>,
+    /// The upstreams that it was offered to; each is one incarnation.
+    pub tried: Vec<Arc<Upstream>>,
     /// How often it was sent.
     pub sends: u32,
     /// How many of these sends may have run.
@@ -65,6 +64,11 @@
 }
 
 impl Job {
+    /// Reports whether it was offered to this incarnation of an upstream.
+    pub fn has_tried(&self, upstream: &Arc<Upstream>) -> bool {
+        self.tried.iter().any(|tried| Arc::ptr_eq(tried, upstream))
+    }
+
     /// Reports whether another run is allowed after this many.
     pub fn may_run_after(&self, runs: u32) -> bool {
         self.route.kind.is_repeatable() && runs < self.route.max_attempts
--- a/crates/bilberry-gateway/src/record.rs
+++ b/crates/bilberry-gateway/src/record.rs
@@ -49,13 +49,14 @@
 /// Writes the line that says what became of a request.
 pub fn write_outcome<C: Clock>(job: &Job, outcome: &str, clock: &C) {
     let now = clock.now();
+    let tried: Vec<&str> = job.tried.iter().map(|tried| tried.id.as_str()).collect();
     log::info!(
         target: "request",
         request = job.call.attempt.as_str(),
         route = job.route.name.as_str(),
         customer = job.customer.as_ref().map_or("", |customer| customer.name.as_str()),
         config = job.config_version,
-        tried = job.tried.join(",").as_str(),
+        tried = tried.join(",").as_str(),
         sends = job.sends,
         detail = job.detail.as_str(),
         weights = job.weights.unwrap_or_default(),
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 
+use bilberry_core::Incarnation;
 use bilberry_core::Name;
 use bilberry_core::Offer;
 use bilberry_core::UnixMs;
@@ -42,7 +43,7 @@
 /// An upstream as the platform lists it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Listed {
-    /// Its identity; a restart brings a new one.
+    /// Its identity.
     pub id: Name,
     /// Its service.
     pub pool: Name,
@@ -58,9 +59,15 @@
     pub models: Vec<(Name, u64)>,
     /// When it was first listed, as a number that grows with each new entry.
     pub listed_at: u64,
+    /// Which of its starts this is, if it tells it.
+    pub incarnation: Option<Incarnation>,
 }
 
-/// An upstream and what is known of it.
+/// One incarnation of an upstream and what is known of it.
+///
+/// Where it starts again under its identity another value takes its place, so that
+/// seats, failures, weights, cached parts and leaving of the earlier start count no
+/// more, and requests that still hold this one can tell.
 #[derive(Debug)]
 pub struct Upstream {
     /// Its identity.
@@ -84,9 +91,12 @@
 struct Live {
     slots: u64,
     leaving: bool,
+    /// Whether it has started again since, so that this is over.
+    ended: bool,
+    incarnation: Option<Incarnation>,
     listed_models: Vec<(Name, u64)>,
     feed: Option<(UpstreamState, UnixMs)>,
-    incarnation: u64,
+    cache_epoch: u64,
     loads_at: Option<UnixMs>,
     load: Option<ServerLoad>,
     in_progress: u64,
@@ -104,9 +114,11 @@
         let live = Live {
             slots: listed.slots,
             leaving: listed.leaving,
+            ended: false,
+            incarnation: listed.incarnation,
             listed_models: listed.models.clone(),
             feed: None,
-            incarnation: 0,
+            cache_epoch: 0,
             loads_at: None,
             load: None,
             in_progress: 0,
@@ -145,25 +157,70 @@
         self.live.lock().unwrap().leaving = true;
     }
 
-    /// Takes over what the sidecar says.
+    /// Notes that it has started again: this incarnation is over.
+    ///
+    /// What still runs there is lost, and takes no new work. A stream that its engine
+    /// left without closing the connection would else be waited for.
+    pub fn end(&self) {
+        let mut live = self.live.lock().unwrap();
+        live.leaving = true;
+        live.ended = true;
+        self.lost.send_replace(true);
+    }
+
+    /// Reports whether it has started again since.
+    pub fn has_ended(&self) -> bool {
+        self.live.lock().unwrap().ended
+    }
+
+    /// Returns which of its starts this is, if that is known.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.live.lock().unwrap().incarnation
+    }
+
+    /// Returns the upstream as its sidecar first tells of its next incarnation.
+    ///
+    /// The list still speaks of this one, so its models, its leaving and its load
+    /// are not taken over.
+    pub fn next_incarnation(&self, state: &UpstreamState) -> Self {
+        let models = state.models.iter();
+        Self::new(&Listed {
+            id: self.id.clone(),
+            pool: self.pool.clone(),
+            address: self.address,
+            place: self.place.clone(),
+            slots: self.live.lock().unwrap().slots,
+            leaving: false,
+            models: models.map(|m| (m.model.as_str().into(), m.version)).collect(),
+            listed_at: self.listed_at,
+            incarnation: state.incarnation(),
+        })
+    }
+
+    /// Takes over what the sidecar says of this incarnation.
     pub fn feed(&self, state: UpstreamState, now: UnixMs) {
+        let mut live = self.live.lock().unwrap();
+        if live.ended {
+            return;
+        }
         self.lost.send_if_modified(|lost| {
             let changed = *lost == state.up;
             *lost = !state.up;
             changed
         });
-        let mut live = self.live.lock().unwrap();
         if state.up && live.feed.as_ref().is_none_or(|(old, _)| !old.up) {
             live.failures = 0;
             live.suspect_until = UnixMs(0);
         }
         // The identity on the list outlives the server by some heartbeats. What
         // answers at its address meanwhile is another one, which refuses what is
-        // meant for the first.
-        match state.incarnation {
+        // meant for the first. Where the start is told, it says which one answers;
+        // the epoch of the cache, asked for apart, may lag behind it.
+        match state.cache_epoch {
+            _ if state.born_ms.is_some() => live.incarnation = state.incarnation(),
             0 => {}
-            told if live.incarnation == 0 => live.incarnation = told,
-            told => live.leaving |= told != live.incarnation,
+            told if live.cache_epoch == 0 => live.cache_epoch = told,
+            told => live.leaving |= told != live.cache_epoch,
         }
         live.loads_at = state.loads_in_ms.map(|in_ms| now.plus_ms(in_ms));
         live.sent_since_feed = 0;
@@ -200,7 +257,9 @@
         let mut live = self.live.lock().unwrap();
         live.feed = None;
         live.loads_at = None;
-        drop(live);
+        if live.ended {
+            return;
+        }
         self.lost.send_if_modified(|lost| std::mem::replace(lost, false));
     }
 
@@ -238,7 +297,8 @@
         let fed = live.fresh_feed(now).and_then(|state| {
             state.models.iter().find(|found| found.model == model).map(|m| m.version)
         });
-        // Versions only grow, so the higher of both is the newer word.
+        // Versions only grow within one incarnation, so the higher of both is the
+        // newer word.
         fed.max(listed)
     }
 
--- a/crates/bilberry-gateway/tests/knowledge.rs
+++ b/crates/bilberry-gateway/tests/knowledge.rs
@@ -28,7 +28,8 @@
     // long as the store has it, and for the moment until the news can have come.
     let kept = KeptParts::default();
     let at = |ms: u64| UnixMs(1_000_000 + ms);
-    kept.note(1, at(0));
+    let giver = Name::from("engine-1");
+    kept.note(&giver, 1, at(0));
     assert!(kept.has(1, at(10_000)));
     let teller = Name::from("engine-0");
     let held = CacheChange { reset: true, added: vec![2, 3], ..CacheChange::default() };
--- a/crates/bilberry-steward/src/cache.rs
+++ b/crates/bilberry-steward/src/cache.rs
@@ -3,10 +3,13 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bilberry_core::Incarnation;
+use bilberry_core::Told;
 use bilberry_core::part_key;
 use bilberry_wire::CacheChange;
 use tokio::sync::broadcast;
@@ -47,6 +50,8 @@
     pub gap: bool,
     /// The changes in order.
     pub changes: Vec<CachedPart>,
+    /// Which start of the engine this tells of, if it says so.
+    pub incarnation: Option<Incarnation>,
 }
 
 /// All that an engine holds.
@@ -58,22 +63,31 @@
     pub next: u64,
     /// The parts.
     pub parts: Vec<CachedPart>,
+    /// Which start of the engine this tells of, if it says so.
+    pub incarnation: Option<Incarnation>,
 }
 
 /// What the engine holds, and the entries that are told of it.
 #[derive(Debug)]
 pub struct CacheView {
-    held: Mutex<HashSet<u64>>,
-    incarnation: AtomicU64,
+    held: Mutex<Held>,
+    epoch: AtomicU64,
     changes: broadcast::Sender<CacheChange>,
 }
 
+/// The parts that one incarnation holds.
+#[derive(Debug, Default)]
+struct Held {
+    parts: HashSet<u64>,
+    incarnation: Option<Incarnation>,
+}
+
 impl CacheView {
     /// Creates a view of an engine that holds nothing.
     pub fn new() -> Self {
         Self {
             held: Mutex::default(),
-            incarnation: AtomicU64::new(0),
+            epoch: AtomicU64::new(0),
             changes: broadcast::Sender::new(BATCHES_AHEAD),
         }
     }
@@ -81,20 +95,39 @@
     /// Returns all that is held, and the changes from then on.
     pub fn subscribe(&self) -> (CacheChange, broadcast::Receiver<CacheChange>) {
         let held = self.held.lock().unwrap();
-        let added = held.iter().copied().collect();
         // Under the lock, so that no change falls between the two.
         let changes = self.changes.subscribe();
-        (CacheChange { reset: true, added, removed: Vec::new() }, changes)
+        (held.all(), changes)
+    }
+
+    /// Returns what the engine's cache chose at its start; zero while it is unknown.
+    pub fn epoch(&self) -> u64 {
+        self.epoch.load(Ordering::Relaxed)
+    }
+
+    /// Forgets what the engine's cache chose, as it may have started anew.
+    pub fn forget_epoch(&self) {
+        self.epoch.store(0, Ordering::Relaxed);
     }
 
-    /// Returns what the engine chose at its start; zero while it is unknown.
-    pub fn incarnation(&self) -> u64 {
-        self.incarnation.load(Ordering::Relaxed)
+    /// Returns the incarnation whose parts these are, if it is known.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.held.lock().unwrap().incarnation
     }
 
-    /// Forgets the engine's incarnation, as it may have started anew.
-    pub fn forget_incarnation(&self) {
-        self.incarnation.store(0, Ordering::Relaxed);
+    /// Notes which incarnation the engine is; a later one holds nothing yet.
+    pub fn enter(&self, incarnation: Incarnation) {
+        let mut held = self.held.lock().unwrap();
+        match Incarnation::compare(held.incarnation, Some(incarnation)) {
+            Told::Older => {}
+            Told::Same => held.incarnation = Some(incarnation),
+            Told::Newer => {
+                *held = Held { incarnation: Some(incarnation), ..Held::default() };
+                self.forget_epoch();
+                // Nobody listening is no fault.
+                let _ = self.changes.send(held.all());
+            }
+        }
     }
 
     /// Follows the engine's cache for ever.
@@ -120,17 +153,19 @@
         engine: &E,
         position: Option<(u64, u64)>,
     ) -> Option<(u64, u64)> {
+        let asked = self.incarnation();
         let Some((epoch, since)) = position else {
             let listing = engine.cache_listing().await.ok()?;
-            self.incarnation.store(listing.epoch, Ordering::Relaxed);
-            self.replace(&listing.parts);
+            let held = self.admit(asked, listing.incarnation)?;
+            self.epoch.store(listing.epoch, Ordering::Relaxed);
+            self.replace(held, &listing.parts);
             return Some((listing.epoch, listing.next));
         };
         let events = match engine.cache_events(since).await {
             Ok(events) => events,
             Err(error) => {
                 log::info!(target: "cache", reason = error.to_string().as_str(); "events lost");
-                self.replace(&[]);
+                self.replace(self.held.lock().unwrap(), &[]);
                 return None;
             }
         };
@@ -138,42 +173,78 @@
             log::info!(target: "cache", epoch = events.epoch, gap = events.gap; "listed anew");
             return None;
         }
-        self.incarnation.store(epoch, Ordering::Relaxed);
-        self.apply(&events.changes);
+        let held = self.admit(asked, events.incarnation)?;
+        self.epoch.store(epoch, Ordering::Relaxed);
+        self.apply(held, &events.changes);
         Some((epoch, events.next))
     }
 
-    fn replace(&self, parts: &[CachedPart]) {
-        let mut held = self.held.lock().unwrap();
-        *held = parts.iter().map(|part| part_key(&part.salt, part.part)).collect();
-        let added = held.iter().copied().collect();
+    /// Returns what is held, if an answer tells of the same incarnation.
+    ///
+    /// A question waits for events up to a second, and its answer may come from
+    /// before a restart that is known by now. Taken in, it would have parts fetched
+    /// from an engine that is empty.
+    fn admit(
+        &self,
+        asked: Option<Incarnation>,
+        told: Option<Incarnation>,
+    ) -> Option<MutexGuard<'_, Held>> {
+        if let Some(told) = told {
+            self.enter(told);
+        }
+        let held = self.held.lock().unwrap();
+        let is_same = match told {
+            Some(_) => held.incarnation == told,
+            None => held.incarnation == asked,
+        };
+        is_same.then_some(held)
+    }
+
+    fn replace(&self, mut held: MutexGuard<'_, Held>, parts: &[CachedPart]) {
+        let keys = parts.iter().map(|part| part_key(&part.salt, part.part));
+        held.parts = keys.collect();
         // Nobody listening is no fault.
-        let _ =
-            self.changes.send(CacheChange { reset: true, added, removed: Vec::new() });
+        let _ = self.changes.send(held.all());
     }
 
-    fn apply(&self, changes: &[CachedPart]) {
+    fn apply(&self, mut held: MutexGuard<'_, Held>, changes: &[CachedPart]) {
         if changes.is_empty() {
             return;
         }
-        let mut held = self.held.lock().unwrap();
-        let mut change = CacheChange::default();
+        let mut change =
+            CacheChange { born_ms: held.born_ms(), ..CacheChange::default() };
         for part in changes {
             let key = part_key(&part.salt, part.part);
             match part.held {
-                true if held.insert(key) => change.added.push(key),
-                false if held.remove(&key) => change.removed.push(key),
+                true if held.parts.insert(key) => change.added.push(key),
+                false if held.parts.remove(&key) => change.removed.push(key),
                 _ => {}
             }
         }
         // A part that came and went within the batch stands in both lists; what
         // is held in the end decides.
-        change.added.retain(|key| held.contains(key));
-        change.removed.retain(|key| !held.contains(key));
+        change.added.retain(|key| held.parts.contains(key));
+        change.removed.retain(|key| !held.parts.contains(key));
         let _ = self.changes.send(change);
     }
 }
 
+impl Held {
+    /// Returns all parts, as a change that replaces what was told before.
+    fn all(&self) -> CacheChange {
+        CacheChange {
+            reset: true,
+            added: self.parts.iter().copied().collect(),
+            removed: Vec::new(),
+            born_ms: self.born_ms(),
+        }
+    }
+
+    fn born_ms(&self) -> Option<u64> {
+        self.incarnation.map(|incarnation| incarnation.born_at.0)
+    }
+}
+
 impl Default for CacheView {
     fn default() -> Self {
         Self::new()
--- a/crates/bilberry-steward/src/engine.rs
+++ b/crates/bilberry-steward/src/engine.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 
+use bilberry_core::Incarnation;
 use bilberry_wire::ModelVersion;
 use thiserror::Error;
 
@@ -25,6 +26,8 @@
     pub used_tokens: u64,
     /// Tokens of memory in all.
     pub total_tokens: u64,
+    /// Which start of the engine this tells of, if it says so.
+    pub incarnation: Option<Incarnation>,
 }
 
 /// What becomes of the requests that run while an engine takes new weights.
@@ -52,6 +55,8 @@
     /// An order whose answer was lost may be carried out seconds later; by then
     /// a newer one was accepted, and this makes the engine refuse it.
     pub expected_orders: u64,
+    /// The incarnation that is meant, if it is known.
+    pub incarnation: Option<Incarnation>,
 }
 
 /// What the engine said to an order.
@@ -65,6 +70,8 @@
     Conflict,
     /// The weights were never named, or the order is malformed.
     Rejected(u16),
+    /// The engine has started again; what was known of it says nothing any more.
+    OtherIncarnation,
 }
 
 /// The engine gave no answer.
--- a/crates/bilberry-steward/src/feed.rs
+++ b/crates/bilberry-steward/src/feed.rs
@@ -116,7 +116,7 @@
     let mut state = feed.state.clone();
     let mut cache = Subscription::of(feed.cache.clone());
     let mut store = None;
-    send(&mut framed, Body::CacheChange(cache.all())).await?;
+    let mut told_born_ms = None;
     loop {
         let told = state.borrow_and_update().clone();
         let now = feed.clock.now();
@@ -125,7 +125,13 @@
             loads_in_ms: told.loads_at.map(|at| at.ms_since(now)),
             ..told.upstream.clone()
         };
+        let born_ms = Some(state_now.born_ms);
         send(&mut framed, Body::UpstreamState(state_now)).await?;
+        // Entries take in what is held only by an incarnation that they know.
+        if std::mem::replace(&mut told_born_ms, born_ms) != born_ms {
+            cache = Subscription::of(feed.cache.clone());
+            send(&mut framed, Body::CacheChange(cache.all())).await?;
+        }
         let sent_at = Instant::now();
         let mut next_at = sent_at + REPEAT_EVERY;
         loop {
@@ -227,7 +233,8 @@
 fn is_urgent(before: &EngineState, now: &EngineState) -> bool {
     let urgent = |state: &EngineState| {
         let EngineState { upstream, loads_at } = state;
-        (upstream.up, upstream.loading, upstream.incarnation, *loads_at)
+        let start = (upstream.cache_epoch, upstream.born_ms);
+        (upstream.up, upstream.loading, start, *loads_at)
     };
     urgent(before) != urgent(now) || before.upstream.models != now.upstream.models
 }
--- a/crates/bilberry-steward/src/steward.rs
+++ b/crates/bilberry-steward/src/steward.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use bilberry_core::Clock;
+use bilberry_core::Incarnation;
 use bilberry_core::Rollout;
+use bilberry_core::Told;
 use bilberry_core::UnixMs;
 use bilberry_wire::ModelVersion;
 use bilberry_wire::UpstreamState;
@@ -71,6 +73,8 @@
 /// What a steward remembers from one look to the next.
 #[derive(Debug, Default)]
 struct Progress {
+    /// The incarnation that all of this is about, if it is known.
+    incarnation: Option<Incarnation>,
     rollout: Rollout,
     unanswered: u32,
     ordered: Option<Ordered>,
@@ -114,11 +118,11 @@
         let mut progress = Progress::default();
         loop {
             match self.ask().await {
-                Some(report) => {
+                Some(report) if self.is_of_present(&report, &mut progress) => {
                     self.note_answer(&mut progress);
                     self.step(&report, &mut progress).await;
                 }
-                None => self.note_silence(&mut progress),
+                _ => self.note_silence(&mut progress),
             }
             sleep(ASK_EVERY).await;
         }
@@ -135,6 +139,23 @@
         }
     }
 
+    /// Reports whether an answer is not of an incarnation that is over; a later one
+    /// has all that was known forgotten.
+    ///
+    /// Weights, orders and pauses of the earlier start would have entries send what
+    /// is refused, and orders wait for a load that nobody carries out.
+    fn is_of_present(&self, report: &EngineReport, progress: &mut Progress) -> bool {
+        let told = Incarnation::compare(progress.incarnation, report.incarnation);
+        if told == Told::Newer {
+            log::info!(target: "engine", running = report.running, orders = report.orders; "started again");
+            *progress = Progress::default();
+        }
+        if told != Told::Older {
+            progress.incarnation = report.incarnation.or(progress.incarnation);
+        }
+        told != Told::Older
+    }
+
     fn note_answer(&self, progress: &mut Progress) {
         if progress.unanswered >= SILENT_QUESTIONS {
             log::info!(target: "engine", questions = progress.unanswered; "answers again");
@@ -148,9 +169,9 @@
         if progress.unanswered == SILENT_QUESTIONS {
             log::warn!(target: "engine", questions = progress.unanswered; "is down");
             progress.ordered = None;
-            // Entries learn from the incarnation whether the engine they knew is
-            // the one that answers next.
-            self.cache.forget_incarnation();
+            // Where engines don't tell their start, entries learn from the epoch
+            // whether the engine they knew is the one that answers next.
+            self.cache.forget_epoch();
             self.metrics.engine_up.set(0);
             self.publish(|state| state.upstream.up = false);
         }
@@ -169,7 +190,8 @@
             state.loads_at = due.as_ref().map(|due| due.starts_at);
             let state = &mut state.upstream;
             state.up = true;
-            state.incarnation = self.cache.incarnation();
+            state.cache_epoch = self.cache.epoch();
+            state.born_ms = progress.incarnation.map(|started| started.born_at.0);
             state.loading = loading;
             state.models = report.models.clone();
             state.running = report.running;
@@ -177,6 +199,9 @@
             state.used_tokens = report.used_tokens;
             state.total_tokens = report.total_tokens;
         });
+        if let Some(incarnation) = progress.incarnation {
+            self.cache.enter(incarnation);
+        }
         self.note_loaded(report, progress, now);
         if let Some(due) = due.filter(|due| !report.busy && due.starts_at <= now) {
             self.order(report, &due, progress).await;
@@ -219,12 +244,14 @@
             // keeps nothing; so the number never falls.
             fencing_number: due.weights.version,
             expected_orders: report.orders,
+            incarnation: progress.incarnation,
         };
         let reply = timeout(ASK, self.engine.load(&order)).await;
         let (outcome, pause_ms) = match &reply {
             Ok(Ok(OrderReply::Accepted)) => ("accepted", ORDER_PAUSE_MS),
             Ok(Ok(OrderReply::Holds)) => ("holds", ORDER_PAUSE_MS),
             Ok(Ok(OrderReply::Conflict)) => ("conflict", ORDER_PAUSE_MS),
+            Ok(Ok(OrderReply::OtherIncarnation)) => ("other_incarnation", ORDER_DOUBT_MS),
             Ok(Ok(OrderReply::Rejected(_))) => ("rejected", ORDER_DOUBT_MS),
             Ok(Err(_)) | Err(_) => ("no_answer", ORDER_DOUBT_MS),
         };
--- a/crates/bilberry-wire/src/feed.rs
+++ b/crates/bilberry-wire/src/feed.rs
@@ -1,5 +1,8 @@
 //! What sidecars and entries tell each other while both run.
 
+use bilberry_core::Incarnation;
+use bilberry_core::UnixMs;
+
 /// One model and the version of its weights.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct ModelVersion {
@@ -38,14 +41,17 @@
     /// How many entries are connected to the sidecar.
     #[prost(uint64, tag = "8")]
     pub entries: u64,
-    /// Chosen anew by the engine at each start; zero while it is unknown.
+    /// Chosen anew by the engine's cache at each start; zero while it is unknown.
     #[prost(fixed64, tag = "9")]
-    pub incarnation: u64,
+    pub cache_epoch: u64,
     /// In how many milliseconds it begins to load weights, if that is planned.
     ///
     /// A time of day would be read by another host's clock.
     #[prost(uint64, optional, tag = "10")]
     pub loads_in_ms: Option<u64>,
+    /// When the upstream started, in Unix milliseconds, if it tells it.
+    #[prost(fixed64, optional, tag = "11")]
+    pub born_ms: Option<u64>,
 }
 
 /// What an entry tells a sidecar.
@@ -81,4 +87,21 @@
     /// Parts that it dropped.
     #[prost(fixed64, repeated, tag = "3")]
     pub removed: Vec<u64>,
+    /// When the upstream that held them started, in Unix milliseconds, if known.
+    #[prost(fixed64, optional, tag = "4")]
+    pub born_ms: Option<u64>,
+}
+
+impl UpstreamState {
+    /// Returns the incarnation that this tells of, if it is known.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.born_ms.map(|ms| Incarnation { born_at: UnixMs(ms) })
+    }
+}
+
+impl CacheChange {
+    /// Returns the incarnation that this tells of, if it is known.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.born_ms.map(|ms| Incarnation { born_at: UnixMs(ms) })
+    }
 }
