--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -124,10 +124,11 @@
         if !is_whole {
             return Ok(PlainAnswer::Long(answer, begun));
         }
-        let (head, _) = answer.response.into_parts();
-        self.connections.keep(answer.connection, &head.headers);
         let body = OutBody::whole(begun);
-        Ok(PlainAnswer::Whole(self.caller_answer(head.status, &head.headers, body)))
+        let head = answer.response.headers();
+        let whole = self.caller_answer(answer.response.status(), head, body);
+        self.keep_connection(answer);
+        Ok(PlainAnswer::Whole(whole))
     }
 
     /// Passes a long plain answer on, of which `begun` has been read.
@@ -147,8 +148,7 @@
             let ended = self.pass_all(&job, &mut answer, begun, &pieces).await;
             self.conclude(&job, ended.outcome());
             if ended == Ended::Whole {
-                let headers = answer.response.headers().clone();
-                self.connections.keep(answer.connection, &headers);
+                self.keep_connection(answer);
                 let _ = pieces.send(BodyPiece::End).await;
             }
         });
@@ -222,8 +222,7 @@
             let reason = match ended {
                 Ended::Broken(reason) => reason,
                 Ended::Whole => {
-                    let headers = answer.response.headers().clone();
-                    self.connections.keep(answer.connection, &headers);
+                    self.keep_connection(answer);
                     return Ended::Whole;
                 }
                 _ => return ended,
@@ -311,6 +310,15 @@
         }
     }
 
+    /// Keeps the connection of a whole answer for later requests, unless its upstream
+    /// has started again: what is known of the new start must not come from the old.
+    fn keep_connection(&self, answer: Answer) {
+        let Answer { response, connection, seat } = answer;
+        if !seat.upstream.has_ended() {
+            self.connections.keep(connection, response.headers());
+        }
+    }
+
     fn note_pace(&self, job: &Job) {
         let Some(first_byte_ms) = job.first_byte_ms else { return };
         let took_ms = self.clock.now().ms_since(job.arrived_at) - first_byte_ms;
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -40,6 +40,9 @@
 /// Two let a short queue keep every slot busy; more would only wait.
 const PLAIN_REQUESTS_PER_SLOT: u64 = 2;
 
+/// The version of weights that are not there; those that are count from 1.
+const NO_WEIGHTS: u64 = 0;
+
 /// An upstream as the platform lists it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Listed {
@@ -180,18 +183,28 @@
 
     /// Returns the upstream as its sidecar first tells of its next incarnation.
     ///
-    /// The list still speaks of this one, so its models, its leaving and its load
-    /// are not taken over.
+    /// The list still speaks of this one, so its weights and its leaving are not
+    /// taken over. A model of which the sidecar tells no weights yet has none: what
+    /// is meant for it is refused there, and never runs on whatever it loads.
     pub fn next_incarnation(&self, state: &UpstreamState) -> Self {
-        let models = state.models.iter();
+        let told = |name: &Name| {
+            let found = state.models.iter().find(|found| found.model == *name);
+            found.map_or(NO_WEIGHTS, |found| found.version)
+        };
+        let (slots, models) = {
+            let live = self.live.lock().unwrap();
+            let models = live.listed_models.iter();
+            let models = models.map(|(name, _)| (name.clone(), told(name)));
+            (live.slots, models.collect())
+        };
         Self::new(&Listed {
             id: self.id.clone(),
             pool: self.pool.clone(),
             address: self.address,
             place: self.place.clone(),
-            slots: self.live.lock().unwrap().slots,
+            slots,
             leaving: false,
-            models: models.map(|m| (m.model.as_str().into(), m.version)).collect(),
+            models,
             listed_at: self.listed_at,
             incarnation: state.incarnation(),
         })
--- a/crates/bilberry-gateway/tests/incarnations.rs
+++ b/crates/bilberry-gateway/tests/incarnations.rs
@@ -94,6 +94,19 @@
     }
 }
 
+#[test]
+fn a_start_of_which_no_weights_are_told_yet_has_none() {
+    // No request is sent there without the weights that it expects, on which it
+    // would run and cache prompts whatever they are. The sidecar tells of a restart
+    // before the engine tells of its models.
+    let upstreams = known();
+    let without = UpstreamState { models: Vec::new(), ..state(Some(2), 1) };
+    assert!(upstreams.feed(ID, without, NOW).is_some());
+    assert_eq!(present(&upstreams).weights(MODEL, NOW), Some(0));
+    upstreams.feed(ID, state(Some(2), 1), NOW);
+    assert_eq!(present(&upstreams).weights(MODEL, NOW), Some(1));
+}
+
 #[test]
 fn seats_at_the_earlier_start_take_no_room_at_the_next() {
     // Callers find all slots and memory free. Requests that ran at the earlier start
