A start that only the sidecar tells of is tried with one request at a time

A sidecar can't say whether its engine kept its identity. An engine that came back under another one was taken for a new start of the earlier identity with all its slots free, until the list told otherwise; requests sent there were refused and used up repeats. It now gets one request at a time until it has answered or the list names it. To wait for the list was ruled out: an engine that kept its identity would stand idle for the list's lag.

Seen failing with the rule taken out: of eight requests sent at once several reached the engine, and the unit test found it usable with a request under way. Passing as a guard: what an engine holds after its restart is told to entries.

--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -97,6 +97,8 @@
     /// Whether it has started again since, so that this is over.
     ended: bool,
     incarnation: Option<Incarnation>,
+    /// Whether the list names this start, or it has answered under its identity.
+    confirmed: bool,
     listed_models: Vec<(Name, u64)>,
     feed: Option<(UpstreamState, UnixMs)>,
     cache_epoch: u64,
@@ -119,6 +121,7 @@
             leaving: listed.leaving,
             ended: false,
             incarnation: listed.incarnation,
+            confirmed: true,
             listed_models: listed.models.clone(),
             feed: None,
             cache_epoch: 0,
@@ -152,6 +155,7 @@
         let mut live = self.live.lock().unwrap();
         live.slots = listed.slots;
         live.leaving |= listed.leaving;
+        live.confirmed |= listed.incarnation.is_some();
         live.listed_models = listed.models.clone();
     }
 
@@ -186,6 +190,11 @@
     /// The list still speaks of this one, so its weights and its leaving are not
     /// taken over. A model of which the sidecar tells no weights yet has none: what
     /// is meant for it is refused there, and never runs on whatever it loads.
+    ///
+    /// A sidecar can't say whether its engine kept its identity, so this start is
+    /// tried with one request at a time until it has answered or is listed. One that
+    /// came back under another identity refuses all; offered its free slots at once,
+    /// it would use up the repeats of many requests.
     pub fn next_incarnation(&self, state: &UpstreamState) -> Self {
         let told = |name: &Name| {
             let found = state.models.iter().find(|found| found.model == *name);
@@ -197,7 +206,7 @@
             let models = models.map(|(name, _)| (name.clone(), told(name)));
             (live.slots, models.collect())
         };
-        Self::new(&Listed {
+        let next = Self::new(&Listed {
             id: self.id.clone(),
             pool: self.pool.clone(),
             address: self.address,
@@ -207,7 +216,9 @@
             models,
             listed_at: self.listed_at,
             incarnation: state.incarnation(),
-        })
+        });
+        next.live.lock().unwrap().confirmed = false;
+        next
     }
 
     /// Takes over what the sidecar says of this incarnation.
@@ -284,6 +295,7 @@
     /// Notes that the upstream answered.
     pub fn note_answer(&self) {
         let mut live = self.live.lock().unwrap();
+        live.confirmed = true;
         live.failures = 0;
         live.suspect_until = UnixMs(0);
     }
@@ -409,7 +421,8 @@
 
     fn takes_work(&self, now: UnixMs) -> bool {
         let fed = self.fresh_feed(now).is_none_or(|state| state.up && !state.loading);
-        fed && !self.leaving && self.suspect_until.has_passed_at(now)
+        let is_free = self.confirmed || self.in_progress == 0;
+        fed && is_free && !self.leaving && self.suspect_until.has_passed_at(now)
     }
 }
 
--- a/crates/bilberry-gateway/tests/incarnations.rs
+++ b/crates/bilberry-gateway/tests/incarnations.rs
@@ -120,6 +120,7 @@
         );
         restarts(&upstreams, by_list);
         let new = offer(&upstreams);
+        assert!(new.usable);
         assert_eq!((new.free_slots, new.free_tokens, new.pending_tokens), (2, 1_000, 0));
         let seat = take_seat(&upstreams);
         drop(seats);
@@ -244,6 +245,28 @@
     assert!(offer(&upstreams).usable);
 }
 
+#[test]
+fn a_start_that_only_the_sidecar_tells_of_is_tried_with_one_request() {
+    // Of many callers one is sent there, until it has answered or is listed. What
+    // restarted may have another identity now, and refuses all that is meant for the
+    // one that is known; each refusal would use up a repeat.
+    for by_answer in [true, false] {
+        let upstreams = known();
+        restarts(&upstreams, false);
+        assert!(offer(&upstreams).usable);
+        let seat = take_seat(&upstreams);
+        upstreams.feed(ID, state(Some(2), 1), NOW);
+        upstreams.put(&listed(None, 1));
+        assert!(!offer(&upstreams).usable);
+        match by_answer {
+            true => present(&upstreams).note_answer(),
+            false => assert!(upstreams.put(&listed(Some(2), 1)).is_none()),
+        }
+        assert!(offer(&upstreams).usable);
+        drop(seat);
+    }
+}
+
 #[test]
 fn where_no_start_is_told_another_cache_means_that_the_identity_is_gone() {
     // Callers are served elsewhere. In older deployments a restart brings a new
