--- a/crates/bilberry-gateway/examples/prompt_keys.rs
+++ b/crates/bilberry-gateway/examples/prompt_keys.rs
@@ -89,5 +89,6 @@
         leaving: false,
         models: Vec::new(),
         listed_at: 1,
+        incarnation: None,
     })
 }
--- a/crates/bilberry-gateway/src/dispatch.rs
+++ b/crates/bilberry-gateway/src/dispatch.rs
@@ -111,11 +111,13 @@
     /// Notes that the answer has begun, so that the prompt has been read.
     pub(crate) fn note_prompt_read(&self, job: &mut Job, seat: &mut Seat) {
         seat.prompt_is_read();
-        let Some(weights) = job.weights else { return };
+        let Some(weights) = job.weights.filter(|_| !seat.upstream.has_ended()) else {
+            return;
+        };
         let now = self.clock.now();
         for key in job.keys(weights).keys() {
             seat.upstream.expect_part(key, now);
-            self.kept.note(key, now);
+            self.kept.note(&seat.upstream.id, key, now);
         }
     }
 }
--- a/crates/bilberry-gateway/src/feeds.rs
+++ b/crates/bilberry-gateway/src/feeds.rs
@@ -38,38 +38,29 @@
 /// How long a lost sidecar is left alone.
 const PAUSE: Duration = Duration::from_millis(300);
 
-/// The feed of one upstream.
-struct Feed {
-    upstream: Arc<Upstream>,
-    task: JoinHandle<()>,
-}
-
 /// Keeps a connection to the sidecar of each engine, for as long as it is listed.
 pub async fn follow_sidecars<D: Dialect, C: Clock>(
     gateway: Arc<Gateway<D, C>>,
     sidecar_port: u16,
 ) {
-    let mut feeds: HashMap<Name, Feed> = HashMap::new();
+    let mut feeds: HashMap<(Name, SocketAddr), JoinHandle<()>> = HashMap::new();
     loop {
         let upstreams = gateway.upstreams.all();
-        feeds.retain(|id, feed| {
-            // An identity that was gone between two looks and is back is an upstream
-            // of its own. A feed of the one before would tell what nobody reads.
-            let listed = upstreams.iter().find(|upstream| upstream.id == *id);
-            let keep =
-                listed.is_some_and(|upstream| Arc::ptr_eq(upstream, &feed.upstream));
-            if !keep {
-                feed.task.abort();
+        let place = |upstream: &Upstream| {
+            let address = SocketAddr::new(upstream.address.ip(), sidecar_port);
+            (upstream.id.clone(), address)
+        };
+        feeds.retain(|followed, feed| {
+            let listed = upstreams.iter().any(|upstream| place(upstream) == *followed);
+            if !listed {
+                feed.abort();
             }
-            keep
+            listed
         });
         for upstream in upstreams.iter().filter(|upstream| is_engine(&gateway, upstream))
         {
-            feeds.entry(upstream.id.clone()).or_insert_with(|| {
-                let address = SocketAddr::new(upstream.address.ip(), sidecar_port);
-                let task =
-                    tokio::spawn(follow(gateway.clone(), upstream.clone(), address));
-                Feed { upstream: upstream.clone(), task }
+            feeds.entry(place(upstream)).or_insert_with_key(|(id, address)| {
+                tokio::spawn(follow(gateway.clone(), id.clone(), *address))
             });
         }
         sleep(LOOK_EVERY).await;
@@ -84,18 +75,20 @@
 
 async fn follow<D: Dialect, C: Clock>(
     gateway: Arc<Gateway<D, C>>,
-    upstream: Arc<Upstream>,
+    id: Name,
     address: SocketAddr,
 ) {
     let mut told = false;
     loop {
-        let outcome = listen(&gateway, &upstream, address, &mut told).await;
-        upstream.forget_feed();
-        gateway.kept.forget_teller(&upstream.id);
+        let outcome = listen(&gateway, &id, address, &mut told).await;
+        if let Some(upstream) = gateway.upstreams.get(&id) {
+            upstream.forget_feed();
+        }
+        gateway.kept.forget_teller(&id);
         if std::mem::take(&mut told) {
             let reason =
                 outcome.err().map_or_else(String::new, |error| error.to_string());
-            log::info!(target: "sidecar", upstream = upstream.id.as_str(), reason = reason.as_str(); "lost");
+            log::info!(target: "sidecar", upstream = id.as_str(), reason = reason.as_str(); "lost");
         }
         sleep(PAUSE).await;
     }
@@ -103,7 +96,7 @@
 
 async fn listen<D: Dialect, C: Clock>(
     gateway: &Gateway<D, C>,
-    upstream: &Arc<Upstream>,
+    id: &Name,
     address: SocketAddr,
     told: &mut bool,
 ) -> Result<(), WireError> {
@@ -113,10 +106,17 @@
     set_options(&stream);
     let mut framed = Framed::new(stream, FrameCodec::new());
     let mut noticed = None;
+    let mut followed: Option<Arc<Upstream>> = None;
     loop {
-        let notice = notice(gateway, upstream);
+        // Looked up each time, as another incarnation may have taken its place.
+        let Some(upstream) = gateway.upstreams.get(id) else { return Ok(()) };
+        let before = followed.replace(upstream.clone());
+        if before.is_some_and(|before| was_listed_anew(&before, &upstream)) {
+            return Ok(());
+        }
+        let notice = notice(gateway, &upstream);
         if notice.prompt_store.is_empty() {
-            gateway.kept.forget_teller(&upstream.id);
+            gateway.kept.forget_teller(id);
         }
         if noticed.as_ref() != Some(&notice) {
             let body = Some(Body::EntryNotice(notice.clone()));
@@ -128,11 +128,11 @@
         let state = match frame?.body {
             Some(Body::UpstreamState(state)) => Some(state),
             Some(Body::CacheChange(change)) => {
-                gateway.note_cache(upstream, &change);
+                gateway.note_cache(id, &change);
                 None
             }
             Some(Body::StoreChange(change)) => {
-                gateway.kept.tell(&upstream.id, &change);
+                gateway.kept.tell(id, &change);
                 None
             }
             _ => None,
@@ -140,14 +140,21 @@
         if let Some(state) = state {
             if !std::mem::replace(told, true) {
                 let address = address.to_string();
-                log::info!(target: "sidecar", upstream = upstream.id.as_str(), address = address.as_str(); "heard");
+                log::info!(target: "sidecar", upstream = id.as_str(), address = address.as_str(); "heard");
             }
-            upstream.feed(state, gateway.clock.now());
-            gateway.upstreams.changed.notify_waiters();
+            gateway.hear(id, state);
         }
     }
 }
 
+/// Reports whether an identity that was off the list for a moment is back.
+///
+/// What its cache holds was told before; only a new connection tells it all again.
+fn was_listed_anew(before: &Arc<Upstream>, upstream: &Arc<Upstream>) -> bool {
+    let is_same_start = before.incarnation() == upstream.incarnation();
+    is_same_start && !Arc::ptr_eq(before, upstream)
+}
+
 /// Returns what the sidecar is told of its service.
 fn notice<D: Dialect, C: Clock>(
     gateway: &Gateway<D, C>,
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -156,7 +156,7 @@
 
     async fn send(&self, job: &mut Job, seat: Seat) -> Sent {
         let upstream = seat.upstream.clone();
-        job.tried.push(upstream.id.clone());
+        job.tried.push(upstream.clone());
         job.backup = self.choose_backup(job, &upstream);
         let last_event = job.call.last_event;
         let request = self.request(job, &seat, last_event, false);
@@ -211,7 +211,7 @@
         last_event: Option<u64>,
     ) -> Option<Answer> {
         let upstream = seat.upstream.clone();
-        job.tried.push(upstream.id.clone());
+        job.tried.push(upstream.clone());
         let request = self.request(job, &seat, last_event, true);
         let mut connection = self.connections.get(upstream.address, true).await.ok()?;
         job.sends += 1;
--- a/crates/bilberry-gateway/src/plain_answer.rs
+++ b/crates/bilberry-gateway/src/plain_answer.rs
@@ -56,10 +56,11 @@
         if !is_whole {
             return Ok(PlainAnswer::Long(answer, begun));
         }
-        let (head, _) = answer.response.into_parts();
-        self.connections.keep(answer.connection, &head.headers);
         let body = OutBody::whole(begun);
-        Ok(PlainAnswer::Whole(self.caller_answer(head.status, &head.headers, body)))
+        let head = answer.response.headers();
+        let whole = self.caller_answer(answer.response.status(), head, body);
+        self.keep_connection(answer);
+        Ok(PlainAnswer::Whole(whole))
     }
 
     /// Passes a long plain answer on, of which `begun` has been read.
@@ -79,8 +80,7 @@
             let ended = self.pass_all(&job, &mut answer, begun, &pieces).await;
             self.conclude(&job, ended.outcome());
             if ended == Ended::Whole {
-                let headers = answer.response.headers().clone();
-                self.connections.keep(answer.connection, &headers);
+                self.keep_connection(answer);
                 let _ = pieces.send(BodyPiece::End).await;
             }
         });
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -87,8 +87,7 @@
             let reason = match ended {
                 Ended::Broken(reason) => reason,
                 Ended::Whole => {
-                    let headers = answer.response.headers().clone();
-                    self.connections.keep(answer.connection, &headers);
+                    self.keep_connection(answer);
                     return Ended::Whole;
                 }
                 _ => return ended,
@@ -176,6 +175,15 @@
         }
     }
 
+    /// Keeps the connection of a whole answer for later requests, unless its upstream
+    /// has started again: what is known of the new start must not come from the old.
+    pub(crate) fn keep_connection(&self, answer: Answer) {
+        let Answer { response, connection, seat } = answer;
+        if !seat.upstream.has_ended() {
+            self.connections.keep(connection, response.headers());
+        }
+    }
+
     fn note_pace(&self, job: &Job) {
         let Some(first_byte_ms) = job.first_byte_ms else { return };
         let took_ms = self.clock.now().ms_since(job.arrived_at) - first_byte_ms;
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 
+use bilberry_core::Incarnation;
 use bilberry_core::Name;
 use bilberry_core::Offer;
 use bilberry_core::UnixMs;
@@ -40,10 +41,13 @@
 /// Two let a short queue keep every slot busy; more would only wait.
 const PLAIN_REQUESTS_PER_SLOT: u64 = 2;
 
+/// The version of weights that are not there; those that are count from 1.
+const NO_WEIGHTS: u64 = 0;
+
 /// An upstream as the platform lists it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Listed {
-    /// Its identity; a restart brings a new one.
+    /// Its identity.
     pub id: Name,
     /// Its service.
     pub pool: Name,
@@ -59,9 +63,15 @@
     pub models: Vec<(Name, u64)>,
     /// When it was first listed, as a number that grows with each new entry.
     pub listed_at: u64,
+    /// Which of its starts this is, if it tells it.
+    pub incarnation: Option<Incarnation>,
 }
 
-/// An upstream and what is known of it.
+/// One incarnation of an upstream and what is known of it.
+///
+/// Where it starts again under its identity another value takes its place, so that
+/// seats, failures, weights, cached parts and leaving of the earlier start count no
+/// more, and requests that still hold this one can tell.
 #[derive(Debug)]
 pub struct Upstream {
     /// Its identity.
@@ -85,9 +95,14 @@
 struct Live {
     slots: u64,
     leaving: bool,
+    /// Whether it has started again since, so that this is over.
+    ended: bool,
+    incarnation: Option<Incarnation>,
+    /// Whether the list names this start, or it has answered under its identity.
+    confirmed: bool,
     listed_models: Vec<(Name, u64)>,
     feed: Option<(UpstreamState, UnixMs)>,
-    incarnation: u64,
+    cache_epoch: u64,
     loads_at: Option<UnixMs>,
     load: Option<ServerLoad>,
     in_progress: u64,
@@ -105,9 +120,12 @@
         let live = Live {
             slots: listed.slots,
             leaving: listed.leaving,
+            ended: false,
+            incarnation: listed.incarnation,
+            confirmed: true,
             listed_models: listed.models.clone(),
             feed: None,
-            incarnation: 0,
+            cache_epoch: 0,
             loads_at: None,
             load: None,
             in_progress: 0,
@@ -138,6 +156,7 @@
         let mut live = self.live.lock().unwrap();
         live.slots = listed.slots;
         live.leaving |= listed.leaving;
+        live.confirmed |= listed.incarnation.is_some();
         live.listed_models = listed.models.clone();
     }
 
@@ -146,25 +165,87 @@
         self.live.lock().unwrap().leaving = true;
     }
 
-    /// Takes over what the sidecar says.
+    /// Notes that it has started again: this incarnation is over.
+    ///
+    /// What still runs there is lost, and takes no new work. A stream that its engine
+    /// left without closing the connection would else be waited for.
+    pub fn end(&self) {
+        let mut live = self.live.lock().unwrap();
+        live.leaving = true;
+        live.ended = true;
+        self.lost.send_replace(true);
+    }
+
+    /// Reports whether it has started again since.
+    pub fn has_ended(&self) -> bool {
+        self.live.lock().unwrap().ended
+    }
+
+    /// Returns which of its starts this is, if that is known.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.live.lock().unwrap().incarnation
+    }
+
+    /// Returns the upstream as its sidecar first tells of its next incarnation.
+    ///
+    /// The list still speaks of this one, so its weights and its leaving are not
+    /// taken over. A model of which the sidecar tells no weights yet has none: what
+    /// is meant for it is refused there, and never runs on whatever it loads.
+    ///
+    /// A sidecar can't say whether its engine kept its identity, so this start is
+    /// tried with one request at a time until it has answered or is listed. One that
+    /// came back under another identity refuses all; offered its free slots at once,
+    /// it would use up the repeats of many requests.
+    pub fn next_incarnation(&self, state: &UpstreamState) -> Self {
+        let told = |name: &Name| {
+            let found = state.models.iter().find(|found| found.model == *name);
+            found.map_or(NO_WEIGHTS, |found| found.version)
+        };
+        let (slots, models) = {
+            let live = self.live.lock().unwrap();
+            let models = live.listed_models.iter();
+            let models = models.map(|(name, _)| (name.clone(), told(name)));
+            (live.slots, models.collect())
+        };
+        let next = Self::new(&Listed {
+            id: self.id.clone(),
+            pool: self.pool.clone(),
+            address: self.address,
+            place: self.place.clone(),
+            slots,
+            leaving: false,
+            models,
+            listed_at: self.listed_at,
+            incarnation: state.incarnation(),
+        });
+        next.live.lock().unwrap().confirmed = false;
+        next
+    }
+
+    /// Takes over what the sidecar says of this incarnation.
     pub fn feed(&self, state: UpstreamState, now: UnixMs) {
+        let mut live = self.live.lock().unwrap();
+        if live.ended {
+            return;
+        }
         self.lost.send_if_modified(|lost| {
             let changed = *lost == state.up;
             *lost = !state.up;
             changed
         });
-        let mut live = self.live.lock().unwrap();
         if state.up && live.feed.as_ref().is_none_or(|(old, _)| !old.up) {
             live.failures = 0;
             live.suspect_until = UnixMs(0);
         }
         // The identity on the list outlives the server by some heartbeats. What
         // answers at its address meanwhile is another one, which refuses what is
-        // meant for the first.
-        match state.incarnation {
+        // meant for the first. Where the start is told, it says which one answers;
+        // the epoch of the cache, asked for apart, may lag behind it.
+        match state.cache_epoch {
+            _ if state.born_ms.is_some() => live.incarnation = state.incarnation(),
             0 => {}
-            told if live.incarnation == 0 => live.incarnation = told,
-            told => live.leaving |= told != live.incarnation,
+            told if live.cache_epoch == 0 => live.cache_epoch = told,
+            told => live.leaving |= told != live.cache_epoch,
         }
         live.loads_at = state.loads_in_ms.map(|in_ms| now.plus_ms(in_ms));
         live.sent_since_feed = 0;
@@ -201,7 +282,9 @@
         let mut live = self.live.lock().unwrap();
         live.feed = None;
         live.loads_at = None;
-        drop(live);
+        if live.ended {
+            return;
+        }
         self.lost.send_if_modified(|lost| std::mem::replace(lost, false));
     }
 
@@ -213,6 +296,7 @@
     /// Notes that the upstream answered.
     pub fn note_answer(&self) {
         let mut live = self.live.lock().unwrap();
+        live.confirmed = true;
         live.failures = 0;
         live.suspect_until = UnixMs(0);
     }
@@ -239,7 +323,8 @@
         let fed = live.fresh_feed(now).and_then(|state| {
             state.models.iter().find(|found| found.model == model).map(|m| m.version)
         });
-        // Versions only grow, so the higher of both is the newer word.
+        // Versions only grow within one incarnation, so the higher of both is the
+        // newer word.
         fed.max(listed)
     }
 
@@ -344,7 +429,8 @@
 
     fn takes_work(&self, now: UnixMs) -> bool {
         let fed = self.fresh_feed(now).is_none_or(|state| state.up && !state.loading);
-        fed && !self.leaving && self.suspect_until.has_passed_at(now)
+        let is_free = self.confirmed || self.in_progress == 0;
+        fed && is_free && !self.leaving && self.suspect_until.has_passed_at(now)
     }
 }
 
--- a/crates/bilberry-gateway/tests/knowledge.rs
+++ b/crates/bilberry-gateway/tests/knowledge.rs
@@ -33,7 +33,8 @@
     // long as the store has it, and for the moment until the news can have come.
     let kept = KeptParts::default();
     let at = |ms: u64| UnixMs(1_000_000 + ms);
-    kept.note(1, at(0));
+    let giver = Name::from("engine-1");
+    kept.note(&giver, 1, at(0));
     assert!(kept.has(1, at(10_000)));
     let teller = Name::from("engine-0");
     let held = CacheChange { reset: true, added: vec![2, 3], ..CacheChange::default() };
@@ -67,16 +68,17 @@
         leaving: false,
         models: Vec::new(),
         listed_at: 1,
+        incarnation: None,
     });
     let kept = KeptParts::default();
     assert_eq!(keys.held_tokens(&upstream, now), 0);
     upstream.expect_part(named[0], now);
     upstream.expect_part(named[2], now);
-    kept.note(named[1], now);
+    kept.note(&upstream.id, named[1], now);
     assert_eq!(keys.held_tokens(&upstream, now), 100);
     assert_eq!(keys.kept_tokens(&kept, now), 0);
     upstream.expect_part(named[1], now);
-    kept.note(named[0], now);
+    kept.note(&upstream.id, named[0], now);
     assert_eq!(keys.held_tokens(&upstream, now), 160);
     assert_eq!(keys.kept_tokens(&kept, now), 140);
 }
