--- a/crates/bilberry-core/src/lapses.rs
+++ b/crates/bilberry-core/src/lapses.rs
@@ -11,16 +11,24 @@
 
 /// For how long after the store's return a missing server is still used.
 ///
-/// Entries of servers that live are back within about two seconds of it.
-const BACK_WITHIN_MS: u64 = 2_200;
+/// Entries of servers that live are back within about two seconds of it. A process
+/// notices the return up to a second late, and is to have given up what left within
+/// three seconds of it.
+const BACK_WITHIN_MS: u64 = 1_900;
 
 /// How many heartbeats of a server an outage covers before its entry may lapse.
 ///
 /// An entry lapses after three intervals of silence, and the last heartbeat before
-/// the outage may have been due as it began. A shorter one makes nothing lapse, so
-/// what is missing after it has left.
+/// the outage may have been due as it began. What is missing after a shorter one has
+/// left, or was late by itself.
 const HEARTBEATS_TO_LAPSE: u64 = 2;
 
+/// How many calls in a row an outage leaves unanswered at least.
+///
+/// A watch on a connection that fell silent is given up after longer than two
+/// heartbeats, and the next call is answered: one lost watch is no outage.
+const CALLS_TO_LAPSE: u32 = 2;
+
 /// What becomes of a server that is no longer listed.
 #[derive(Debug, Copy, Clone, PartialEq, Eq)]
 pub enum Removal {
@@ -35,6 +43,7 @@
 pub struct Lapses {
     lapse_ms: u64,
     lost_at: Option<UnixMs>,
+    lost_calls: u32,
     back_at: Option<UnixMs>,
     missing: BTreeMap<Name, UnixMs>,
 }
@@ -45,6 +54,7 @@
         Self {
             lapse_ms: heartbeat_ms * HEARTBEATS_TO_LAPSE,
             lost_at: None,
+            lost_calls: 0,
             back_at: None,
             missing: BTreeMap::new(),
         }
@@ -53,16 +63,18 @@
     /// Notes that a call to the store, made at `asked_at`, was not answered.
     pub fn note_lost(&mut self, asked_at: UnixMs) {
         self.lost_at.get_or_insert(asked_at);
+        self.lost_calls += 1;
     }
 
     /// Notes that the store answers.
     ///
     /// After another outage all that is missing has its time anew, as no server could
     /// renew its entry meanwhile. A single call that failed is no outage: a store that
-    /// cut one watch in three seconds would keep a server that left for ever.
+    /// cuts a watch in each three seconds would keep a server that left for ever.
     pub fn note_answer(&mut self, now: UnixMs) {
+        let lost_calls = std::mem::take(&mut self.lost_calls);
         let Some(lost_at) = self.lost_at.take() else { return };
-        if now.ms_since(lost_at) >= self.lapse_ms {
+        if lost_calls >= CALLS_TO_LAPSE && now.ms_since(lost_at) >= self.lapse_ms {
             self.back_at = Some(now);
             let until = now.plus_ms(BACK_WITHIN_MS);
             self.missing.values_mut().for_each(|due| *due = until);
--- a/crates/bilberry-core/src/named_weights.rs
+++ b/crates/bilberry-core/src/named_weights.rs
@@ -9,7 +9,8 @@
 /// How many versions are remembered.
 ///
 /// Thirty-two namings a second apart reach back further than any bound on older
-/// weights in use; a server that is further behind is judged by the oldest of them.
+/// weights in use. Where they come faster, the oldest two count as one that was named
+/// when the first of them was, so older weights are barred too early, never too late.
 const MOST_VERSIONS: usize = 32;
 
 /// The versions of a model's weights that are known to exist, oldest first.
@@ -21,25 +22,30 @@
 }
 
 impl NamedWeights {
-    /// Notes that a version had been named by `at`; returns whether it is new.
+    /// Notes a version that may have been named from `since` on; returns whether it
+    /// is new.
     ///
-    /// Versions only grow, so an older one had been named by then as well.
-    pub fn note(&mut self, version: u64, at: UnixMs) -> bool {
+    /// The first word counts: what is heard again later, or read anew, tells nothing
+    /// more of when it was. Versions only grow, so it was named before any newer one
+    /// and after any older one.
+    pub fn note(&mut self, version: u64, since: UnixMs) -> bool {
         let place = self.named.partition_point(|&(known, _)| known < version);
-        let is_new = self.named.get(place).is_none_or(|&(known, _)| known != version);
-        if is_new {
-            self.named.insert(place, (version, at));
+        let is_known = self.named.get(place).is_some_and(|&(known, _)| known == version);
+        let is_forgotten = place == 0 && self.named.len() == MOST_VERSIONS;
+        if is_known || is_forgotten {
+            return false;
         }
-        for (_, known_at) in &mut self.named[..=place] {
-            *known_at = (*known_at).min(at);
-        }
-        if let Some(&(_, later)) = self.named.get(place + 1) {
-            self.named[place].1 = self.named[place].1.min(later);
+        let newer_at = self.named.get(place).map_or(since, |&(_, at)| at);
+        let since = since.min(newer_at);
+        for (_, known_at) in &mut self.named[..place] {
+            *known_at = (*known_at).min(since);
         }
+        self.named.insert(place, (version, since));
         if self.named.len() > MOST_VERSIONS {
-            self.named.remove(0);
+            let (_, oldest_at) = self.named.remove(0);
+            self.named[0].1 = oldest_at;
         }
-        is_new
+        true
     }
 
     /// Returns the newest version, and since when it is known.
--- a/crates/bilberry-core/src/placement.rs
+++ b/crates/bilberry-core/src/placement.rs
@@ -78,7 +78,7 @@
     /// begin on older ones after `bound_ms`.
     ///
     /// What counts is the first naming that the upstream missed. Judged by the newest
-    /// one, older weights were never barred where namings came faster than the bound.
+    /// one, older weights are never barred where namings come faster than the bound.
     pub fn lacking(lacking_ms: Option<u64>, bound_ms: Option<u64>) -> Self {
         let barred_from =
             bound_ms.map(|bound_ms| bound_ms.saturating_sub(OLD_WEIGHTS_MARGIN_MS));
--- a/crates/bilberry-core/src/rollout.rs
+++ b/crates/bilberry-core/src/rollout.rs
@@ -25,8 +25,8 @@
 /// The part of the bound on older weights within which the last wave starts.
 ///
 /// The other half is for loads that are slow or are ordered twice. Without it, 44
-/// servers of which 15 were down took 38 s for a rollout, and most of those that lived
-/// were barred for older weights meanwhile.
+/// servers of which 15 are down take 38 s for a rollout, and most of those that live
+/// are barred for older weights meanwhile.
 const BOUND_PART: u64 = 2;
 
 /// The place of one server among those of its service.
--- a/crates/bilberry-core/tests/forwarding.rs
+++ b/crates/bilberry-core/tests/forwarding.rs
@@ -337,9 +337,23 @@
     assert!(!named.note(8, UnixMs(20_000)));
     assert!(named.note(9, UnixMs(20_000)));
     assert_eq!(named.lacking_since(8), at(13_300));
-    // Heard again with an earlier time: older ones had been named by then as well.
+    // Read anew with an earlier time: when it was first heard of counts.
     assert!(!named.note(10, UnixMs(4_000)));
-    assert_eq!(named.lacking_since(7), at(4_000));
+    assert_eq!(named.lacking_since(9), at(13_300));
+}
+
+#[test]
+fn the_oldest_of_very_many_versions_lose_no_time() {
+    // Weights named five times a second for a quarter of a minute: a server that has
+    // none of them has lacked some since the first, and one that is asked about
+    // versions older than all that are remembered makes none of them new.
+    let mut named = NamedWeights::default();
+    for version in 10..90 {
+        assert!(named.note(version, UnixMs(version * 200)));
+    }
+    assert_eq!(named.lacking_since(9), Some(UnixMs(2_000)));
+    assert!(!named.note(11, UnixMs(50_000)));
+    assert_eq!(named.newest(), Some((89, UnixMs(17_800))));
 }
 
 #[test]
--- a/crates/bilberry-core/tests/lapses.rs
+++ b/crates/bilberry-core/tests/lapses.rs
@@ -22,16 +22,16 @@
     // Callers would be crowded onto the few servers that renewed their entries first,
     // if all whose entries lapsed in the outage were given up at once.
     let mut lapses = after_outage(20_000);
-    let until = UnixMs(22_200);
+    let until = UnixMs(21_900);
     assert_eq!(lapses.remove(&"a".into(), UnixMs(20_010)), Removal::At(until));
     assert_eq!(lapses.remove(&"b".into(), UnixMs(21_500)), Removal::At(until));
     assert_eq!(lapses.next_due(), Some(until));
     assert!(lapses.list("a"));
     assert!(!lapses.list("a"));
-    assert_eq!(lapses.take_overdue(UnixMs(22_199)), []);
-    assert_eq!(lapses.take_overdue(UnixMs(22_200)), [("b".into(), until)]);
+    assert_eq!(lapses.take_overdue(UnixMs(21_899)), []);
+    assert_eq!(lapses.take_overdue(UnixMs(21_900)), [("b".into(), until)]);
     assert_eq!((lapses.missing(), lapses.next_due()), (0, None));
-    assert_eq!(lapses.remove(&"c".into(), UnixMs(22_200)), Removal::Now);
+    assert_eq!(lapses.remove(&"c".into(), UnixMs(21_900)), Removal::Now);
 }
 
 #[test]
@@ -41,8 +41,8 @@
     let mut lapses = after_outage(20_000);
     let left = Name::from("left");
     let first = lapses.remove(&left, UnixMs(20_010));
-    assert_eq!(lapses.remove(&left, UnixMs(22_100)), first);
-    assert_eq!(lapses.take_overdue(UnixMs(22_300)).len(), 1);
+    assert_eq!(lapses.remove(&left, UnixMs(21_800)), first);
+    assert_eq!(lapses.take_overdue(UnixMs(21_950)).len(), 1);
 }
 
 #[test]
@@ -51,6 +51,13 @@
     // lapses in two seconds, so what is missing has left.
     let mut lapses = after_outage(10_000 + 2 * HEARTBEAT_MS - 1);
     assert_eq!(lapses.remove(&"left".into(), UnixMs(12_500)), Removal::Now);
+    // A watch that fell silent takes longer to be given up, and is one call all the same.
+    let mut lapses = Lapses::new(HEARTBEAT_MS);
+    for round in 0..5 {
+        lapses.note_lost(UnixMs(10_000 + round * 2_700));
+        lapses.note_answer(UnixMs(12_620 + round * 2_700));
+    }
+    assert_eq!(lapses.remove(&"left".into(), UnixMs(23_430)), Removal::Now);
 }
 
 #[test]
@@ -61,8 +68,9 @@
     lapses.remove(&"a".into(), UnixMs(20_010));
     lapses.note_lost(UnixMs(21_000));
     lapses.note_answer(UnixMs(21_100));
-    assert_eq!(lapses.next_due(), Some(UnixMs(22_200)));
+    assert_eq!(lapses.next_due(), Some(UnixMs(21_900)));
     lapses.note_lost(UnixMs(21_500));
+    lapses.note_lost(UnixMs(22_000));
     lapses.note_answer(UnixMs(30_000));
-    assert_eq!(lapses.next_due(), Some(UnixMs(32_200)));
+    assert_eq!(lapses.next_due(), Some(UnixMs(31_900)));
 }
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -245,7 +245,7 @@
             if until.has_passed_at(now) || has_none {
                 break Err(Refusal::NoRoom);
             }
-            if self.awaits_weights(job, now) {
+            if self.lacks_weights(job, until, now) {
                 break Err(Refusal::NoWeights);
             }
             let nap_ms = until.ms_since(now).min(LOOK_AGAIN_MS);
@@ -258,17 +258,19 @@
     }
 
     /// Reports whether all upstreams have weights that are too old, and none of them
-    /// is known to load newer ones.
+    /// is known to have others by `until`.
     ///
-    /// A request that waited for them would be refused in the end.
-    fn awaits_weights(&self, job: &Job, now: UnixMs) -> bool {
+    /// A request that waited for them would be refused in the end. Where no upstream
+    /// is left, or none is listed yet, one may appear at any moment, with any weights.
+    fn lacks_weights(&self, job: &Job, until: UnixMs, now: UnixMs) -> bool {
         let Some(model) = &job.call.model else { return false };
-        let upstreams = self.upstreams.of(&job.pool.name);
-        let mut staying = upstreams.iter().filter(|upstream| !upstream.is_leaving());
-        staying.all(|upstream| {
+        let mut upstreams = self.upstreams.of(&job.pool.name);
+        upstreams.retain(|upstream| !upstream.is_leaving());
+        let is_barred = |upstream: &Arc<Upstream>| {
             self.judge_weights(upstream, model, now) == Weights::Barred
-                && !upstream.loads_soon(now)
-        })
+                && !upstream.may_load_by(until, now)
+        };
+        !upstreams.is_empty() && upstreams.iter().all(is_barred)
     }
 
     /// Judges whether an upstream's weights may still serve.
@@ -345,11 +347,11 @@
         log::info!(target: "upstream", upstream = ended.id.as_str(); "started again");
     }
 
-    /// Notes the newest weights that any upstream has.
+    /// Notes the newest weights that any upstream runs.
     ///
     /// They have been named, whether or not this entry could hear of it.
     pub(crate) fn note_weights_seen(&self, pool: &Name, model: &Name, now: UnixMs) {
-        let Some(version) = self.upstreams.newest_weights(pool, model, now) else {
+        let Some(version) = self.upstreams.newest_told(pool, model, now) else {
             return;
         };
         if self.weights.note(model, version, now) {
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -320,12 +320,14 @@
         let live = self.live.lock().unwrap();
         let listed = live.listed_models.iter().find(|(name, _)| name == model);
         let listed = listed.map(|&(_, version)| version);
-        let fed = live.fresh_feed(now).and_then(|state| {
-            state.models.iter().find(|found| found.model == model).map(|m| m.version)
-        });
         // Versions only grow within one incarnation, so the higher of both is the
         // newer word.
-        fed.max(listed)
+        live.told_weights(model, now).max(listed)
+    }
+
+    /// Returns the version of a model's weights that its sidecar tells of.
+    pub fn told_weights(&self, model: &str, now: UnixMs) -> Option<u64> {
+        self.live.lock().unwrap().told_weights(model, now)
     }
 
     /// Returns all models with the versions of their weights.
@@ -395,11 +397,13 @@
         live.leaving || live.fresh_feed(now).is_some_and(|state| !state.up)
     }
 
-    /// Reports whether its sidecar says that it loads weights, or is about to.
-    pub fn loads_soon(&self, now: UnixMs) -> bool {
+    /// Reports whether it may have other weights by `until`, as its sidecar tells.
+    ///
+    /// One that is down may come back with any.
+    pub fn may_load_by(&self, until: UnixMs, now: UnixMs) -> bool {
         let live = self.live.lock().unwrap();
-        let planned = live.loads_at.is_some();
-        live.fresh_feed(now).is_some_and(|state| state.up && (state.loading || planned))
+        let loads = live.loads_at.is_some_and(|loads_at| loads_at <= until);
+        live.fresh_feed(now).is_some_and(|state| !state.up || state.loading || loads)
     }
 
     /// Reports whether its sidecar spoke lately.
@@ -427,6 +431,11 @@
         self.feed.as_ref().filter(|(_, at)| fresh(*at)).map(|(state, _)| state)
     }
 
+    fn told_weights(&self, model: &str, now: UnixMs) -> Option<u64> {
+        let models = &self.fresh_feed(now)?.models;
+        models.iter().find(|found| found.model == model).map(|found| found.version)
+    }
+
     fn takes_work(&self, now: UnixMs) -> bool {
         let fed = self.fresh_feed(now).is_none_or(|state| state.up && !state.loading);
         let is_free = self.confirmed || self.in_progress == 0;
--- a/crates/bilberry-gateway/src/upstreams.rs
+++ b/crates/bilberry-gateway/src/upstreams.rs
@@ -179,11 +179,14 @@
         self.by_id.lock().unwrap().values().cloned().collect()
     }
 
-    /// Returns the newest version of a model's weights that any upstream has.
-    pub fn newest_weights(&self, pool: &str, model: &str, now: UnixMs) -> Option<u64> {
+    /// Returns the newest version of a model's weights that a sidecar tells of.
+    ///
+    /// Not what the list says: anybody may write there, and a version that was never
+    /// named would bar all that were.
+    pub fn newest_told(&self, pool: &str, model: &str, now: UnixMs) -> Option<u64> {
         let by_pool = self.by_pool.load();
         let upstreams = by_pool.get(pool)?;
-        upstreams.iter().filter_map(|upstream| upstream.weights(model, now)).max()
+        upstreams.iter().filter_map(|upstream| upstream.told_weights(model, now)).max()
     }
 
     fn insert(
--- a/crates/bilberry-gateway/src/weights.rs
+++ b/crates/bilberry-gateway/src/weights.rs
@@ -14,10 +14,11 @@
 }
 
 impl KnownWeights {
-    /// Notes that a version had been named by `at`; returns whether it is new.
-    pub fn note(&self, model: &Name, version: u64, at: UnixMs) -> bool {
+    /// Notes a version that may have been named from `since` on; returns whether it
+    /// is new.
+    pub fn note(&self, model: &Name, version: u64, since: UnixMs) -> bool {
         let mut by_model = self.by_model.lock().unwrap();
-        by_model.entry(model.clone()).or_default().note(version, at)
+        by_model.entry(model.clone()).or_default().note(version, since)
     }
 
     /// Returns the newest version of a model's weights.
--- a/crates/bilberry-gateway/tests/incarnations.rs
+++ b/crates/bilberry-gateway/tests/incarnations.rs
@@ -97,7 +97,9 @@
         assert_eq!(present(&upstreams).weights(MODEL, NOW), Some(1));
         present(&upstreams).forget_feed();
         assert_eq!(present(&upstreams).weights(MODEL, NOW), Some(1));
-        assert_eq!(upstreams.newest_weights("llm", MODEL, NOW), Some(1));
+        assert_eq!(upstreams.newest_told("llm", MODEL, NOW), None);
+        upstreams.feed(ID, state(Some(2), 1), NOW);
+        assert_eq!(upstreams.newest_told("llm", MODEL, NOW), Some(1));
     }
 }
 
--- a/crates/bilberry-steward/src/steward.rs
+++ b/crates/bilberry-steward/src/steward.rs
@@ -237,8 +237,8 @@
     /// Returns the load that the engine still lacks.
     ///
     /// Its turn counts from the first naming that it missed, and it takes the newest
-    /// weights then. With turns that began anew at each naming, an engine late in the
-    /// order had none for as long as weights were named faster than a rollout takes.
+    /// weights then. With turns that begin anew at each naming, an engine late in the
+    /// order has none for as long as weights are named faster than a rollout takes.
     fn due(&self, report: &EngineReport, progress: &Progress) -> Option<Due> {
         let lacking = |has: &ModelVersion| {
             let (version, since) = self.newest.lacking(&has.model, has.version)?;
