What an engine holds outlives its sidecar, and counts until a send fails

Cause: when a sidecar fell silent, an entry forgot what its engine held, so under full load callers' prompts were read anew elsewhere; and a host without power was named as a source of fetches for as long as its last word was fresh.

--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -96,6 +96,7 @@
     reserved_tokens: u64,
     failures: u32,
     suspect_until: UnixMs,
+    known_alive: bool,
 }
 
 impl Upstream {
@@ -116,6 +117,7 @@
             reserved_tokens: 0,
             failures: 0,
             suspect_until: UnixMs(0),
+            known_alive: false,
         };
         Self {
             id: listed.id.clone(),
@@ -165,6 +167,7 @@
             told if live.incarnation == 0 => live.incarnation = told,
             told => live.leaving |= told != live.incarnation,
         }
+        live.known_alive = state.up;
         live.loads_at = state.loads_in_ms.map(|in_ms| now.plus_ms(in_ms));
         live.sent_since_feed = 0;
         live.tokens_since_feed = 0;
@@ -188,15 +191,24 @@
         self.parts.lock().unwrap().insert(key, now);
     }
 
-    /// Reports whether it holds a part.
+    /// Reports whether it holds a part that others may rely on.
+    ///
+    /// A fetch from an engine that is gone holds up its request for some hundred
+    /// milliseconds, so what an engine holds counts only while it is known to live.
     pub fn holds(&self, key: u64, now: UnixMs) -> bool {
+        if !self.live.lock().unwrap().known_alive {
+            return false;
+        }
         let parts = self.parts.lock().unwrap();
         parts.get(&key).is_some_and(|at| now.ms_since(*at) < HELD_MS)
     }
 
-    /// Forgets what the sidecar said, as it no longer answers.
+    /// Forgets what the sidecar said of the moment, as it no longer answers.
+    ///
+    /// What the engine holds is kept until a send to it fails. An engine goes on
+    /// without its sidecar; with its parts forgotten too, its prompts were read anew
+    /// elsewhere.
     pub fn forget_feed(&self) {
-        self.parts.lock().unwrap().clear();
         let mut live = self.live.lock().unwrap();
         live.feed = None;
         live.loads_at = None;
@@ -214,6 +226,7 @@
         let mut live = self.live.lock().unwrap();
         live.failures = 0;
         live.suspect_until = UnixMs(0);
+        live.known_alive = true;
     }
 
     /// Notes that the upstream gave no answer, and leaves it alone for a while.
@@ -221,6 +234,7 @@
         let mut live = self.live.lock().unwrap();
         let pause_ms = FIRST_SUSPICION_MS << live.failures.min(3);
         live.failures += 1;
+        live.known_alive = false;
         live.suspect_until = now.plus_ms(pause_ms.min(MOST_SUSPICION_MS));
     }
 
--- a/crates/bilberry-gateway/tests/knowledge.rs
+++ b/crates/bilberry-gateway/tests/knowledge.rs
@@ -3,8 +3,33 @@
 use bilberry_core::Name;
 use bilberry_core::UnixMs;
 use bilberry_gateway::KeptParts;
+use bilberry_gateway::Listed;
 use bilberry_gateway::Pace;
+use bilberry_gateway::Upstream;
 use bilberry_wire::CacheChange;
+use bilberry_wire::UpstreamState;
+
+fn at(ms: u64) -> UnixMs {
+    UnixMs(1_000_000 + ms)
+}
+
+fn engine() -> Upstream {
+    Upstream::new(&Listed {
+        id: "engine-0".into(),
+        pool: "llm".into(),
+        address: "10.0.0.1:8000".parse().unwrap(),
+        place: "hall-a".into(),
+        slots: 48,
+        leaving: false,
+        models: vec![("model".into(), 1)],
+        listed_at: 1,
+    })
+}
+
+/// What a sidecar says of an engine that is up and idle.
+fn idle() -> UpstreamState {
+    UpstreamState { up: true, total_tokens: 100_000, entries: 4, ..Default::default() }
+}
 
 #[test]
 fn the_pace_of_an_engine_follows_its_answers_and_no_single_one() {
@@ -27,7 +52,6 @@
     // kept for seconds after it was given; once a sidecar tells, it counts for as
     // long as the store has it, and for the moment until the news can have come.
     let kept = KeptParts::default();
-    let at = |ms: u64| UnixMs(1_000_000 + ms);
     kept.note(1, at(0));
     assert!(kept.has(1, at(10_000)));
     let teller = Name::from("engine-0");
@@ -42,3 +66,29 @@
     assert!(kept.has(1, at(10_000)));
     assert!(!kept.has(3, at(10_000)));
 }
+
+#[test]
+fn what_an_engine_holds_outlives_its_sidecar_but_no_failed_send() {
+    // The sidecar of an engine falls silent while the engine works on. Callers that
+    // share a prompt still find it read there. Then the whole host loses power: the
+    // first send fails, and nobody is told to fetch from there any more, though the
+    // sidecar's last word says that the engine is up.
+    let engine = engine();
+    engine.feed(idle(), at(0));
+    engine.cache_change(
+        &CacheChange { reset: true, added: vec![7], ..CacheChange::default() },
+        at(0),
+    );
+    engine.forget_feed();
+    assert!(engine.holds(7, at(100)));
+    engine.note_failure(at(200));
+    assert!(!engine.holds(7, at(200)));
+    // An answer says that it was not gone after all.
+    engine.note_answer();
+    assert!(engine.holds(7, at(300)));
+    engine.note_failure(at(400));
+    engine.feed(idle(), at(500));
+    assert!(engine.holds(7, at(500)));
+    // No event says when a part ends while nobody listens, so it runs out.
+    assert!(!engine.holds(7, at(60_000)));
+}
