Callers come back later the longer nothing of a service lives

Cause: callers refused in an outage of a whole service were sent back within a second, as fits a service that is full, and come back once: a stream with fifteen seconds of patience had used up its return fourteen seconds before the end of it.

Change: an outage is taken to last as long again as it has lasted; a caller is sent back then, at most after a third of its time. An upstream that a send failed to, or that its sidecar calls down, does not live until it answers.

Tried and reverted: to let callers also wait for a third of their time where no server is listed.

--- a/crates/bilberry-core/tests/forwarding.rs
+++ b/crates/bilberry-core/tests/forwarding.rs
@@ -9,6 +9,7 @@
 use bilberry_core::LinkShare;
 use bilberry_core::Offer;
 use bilberry_core::OldWeights;
+use bilberry_core::Outage;
 use bilberry_core::PeerCopy;
 use bilberry_core::Rollout;
 use bilberry_core::RolloutPlace;
@@ -195,6 +196,31 @@
     assert!(share.take(UnixMs(5_001), nothing, 1_000.0, None));
 }
 
+#[test]
+fn callers_return_later_the_longer_nothing_lives() {
+    // All engines of a service lose power for sixteen seconds. A caller that waits
+    // fifteen seconds comes back once. Refused in the first second it returns soon, as
+    // a crash may be over; refused later it returns as late as callers follow advice,
+    // a third of its time, so that those refused in the last seconds are still served.
+    let mut outage = Outage::default();
+    let at = |ms: u64| UnixMs(1_000_000 + ms);
+    assert_eq!(outage.come_back_ms(at(0), 15_000), None);
+    outage.note(at(0), false);
+    assert_eq!(outage.come_back_ms(at(0), 15_000), Some((80, 100)));
+    outage.note(at(500), false);
+    assert_eq!(outage.come_back_ms(at(500), 15_000), Some((400, 500)));
+    outage.note(at(9_000), false);
+    assert_eq!(outage.come_back_ms(at(9_000), 15_000), Some((3_840, 4_800)));
+    // A caller with less time, or with none, is not sent past its end.
+    assert_eq!(outage.come_back_ms(at(9_000), 5_000), Some((1_280, 1_600)));
+    assert_eq!(outage.come_back_ms(at(9_000), 0), Some((80, 100)));
+    // The first upstream that lives ends it, and the next outage starts anew.
+    outage.note(at(16_000), true);
+    assert_eq!(outage.come_back_ms(at(16_000), 15_000), None);
+    outage.note(at(20_000), false);
+    assert_eq!(outage.come_back_ms(at(20_300), 15_000), Some((240, 300)));
+}
+
 #[test]
 fn parts_are_kept_apart_by_weights_and_wall() {
     let keys = [
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use bilberry_core::Name;
 use bilberry_core::Offer;
 use bilberry_core::OldWeights;
+use bilberry_core::Outage;
 use bilberry_core::SharedBudget;
 use bilberry_core::Transfer;
 use bilberry_core::UnixMs;
@@ -81,6 +82,7 @@
     policy: ArcSwapOption<Policy>,
     policy_fresh: Mutex<Freshness>,
     budgets: Mutex<HashMap<Name, SharedBudget>>,
+    outages: Mutex<HashMap<Name, Outage>>,
     newest: Mutex<HashMap<(Name, Name), (u64, UnixMs)>>,
     prompt_store_up: AtomicBool,
     stopping: AtomicBool,
@@ -103,6 +105,7 @@
             policy: ArcSwapOption::empty(),
             policy_fresh: Mutex::default(),
             budgets: Mutex::default(),
+            outages: Mutex::default(),
             newest: Mutex::default(),
             prompt_store_up: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
@@ -223,6 +226,19 @@
         act(budgets.entry(pool.clone()).or_insert_with(fresh))
     }
 
+    /// Returns the least and the most time after which a caller may come back, if
+    /// nothing of the service lives.
+    pub(crate) fn outage_over_ms(&self, pool: &Name, left_ms: u64) -> Option<(u64, u64)> {
+        let outages = self.outages.lock().unwrap();
+        outages.get(pool)?.come_back_ms(self.clock.now(), left_ms)
+    }
+
+    fn note_outage(&self, pool: &Name, upstreams: &[Arc<Upstream>], now: UnixMs) {
+        let any_lives = upstreams.iter().any(|upstream| upstream.lives(now));
+        let mut outages = self.outages.lock().unwrap();
+        outages.entry(pool.clone()).or_default().note(now, any_lives);
+    }
+
     /// Waits for an upstream with room and takes a seat there.
     pub(crate) async fn seat(&self, job: &mut Job) -> Result<Seat, Refusal> {
         let began = self.clock.now();
@@ -252,6 +268,7 @@
     fn try_seat(&self, job: &mut Job) -> Option<Seat> {
         let now = self.clock.now();
         let upstreams = self.upstreams.of(&job.pool.name);
+        self.note_outage(&job.pool.name, &upstreams, now);
         let model = job.call.model.clone().unwrap_or_default();
         let newest = self.newest_weights(&job.pool.name, &model, now);
         let age_ms = newest.map_or(0, |(_, since)| now.ms_since(since));
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -187,7 +187,11 @@
     fn refuse(&self, job: &Job, refusal: &Refusal) -> Response<OutBody> {
         self.conclude(job, refusal.code());
         let left_ms = job.deadline.ms_since(self.clock.now());
-        refusal.answer(come_back_ms(left_ms))
+        let outage_over_ms = self.outage_over_ms(&job.pool.name, left_ms);
+        refusal.answer(match outage_over_ms.filter(|_| *refusal == Refusal::NoRoom) {
+            Some((least, most)) => rand::random_range(least..=most),
+            None => come_back_ms(left_ms),
+        })
     }
 }
 
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -207,7 +207,8 @@
     ///
     /// What the engine holds is kept until a send to it fails. An engine goes on
     /// without its sidecar; with its parts forgotten too, its prompts were read anew
-    /// elsewhere.
+    /// elsewhere. Worth under full load with sidecars that end again and again: 0.08
+    /// in place of 0.19, mean of four plays.
     pub fn forget_feed(&self) {
         let mut live = self.live.lock().unwrap();
         live.feed = None;
@@ -323,6 +324,13 @@
         live.leaving || live.fresh_feed(now).is_some_and(|state| !state.up)
     }
 
+    /// Reports whether it lives, as far as its sidecar and the last send say.
+    pub fn lives(&self, now: UnixMs) -> bool {
+        let live = self.live.lock().unwrap();
+        let fed = live.fresh_feed(now).is_none_or(|state| state.up);
+        fed && !live.leaving && live.failures == 0
+    }
+
     /// Reports whether its sidecar spoke lately.
     pub fn is_followed(&self, now: UnixMs) -> bool {
         self.live.lock().unwrap().fresh_feed(now).is_some()
--- a/crates/bilberry-gateway/tests/knowledge.rs
+++ b/crates/bilberry-gateway/tests/knowledge.rs
@@ -92,3 +92,26 @@
     // No event says when a part ends while nobody listens, so it runs out.
     assert!(!engine.holds(7, at(60_000)));
 }
+
+#[test]
+fn an_engine_lives_until_a_send_fails_or_its_sidecar_says_that_it_is_down() {
+    // Callers are told to stay away for longer where nothing of a service lives. A
+    // silent sidecar alone says nothing of its engine, and neither does an engine that
+    // is full for a moment; a failed send counts until the next answer.
+    let engine = engine();
+    assert!(engine.lives(at(0)));
+    engine.feed(idle(), at(0));
+    engine.forget_feed();
+    engine.note_busy(at(0), 60);
+    assert!(engine.lives(at(10)));
+    engine.note_failure(at(100));
+    assert!(!engine.lives(at(5_000)));
+    engine.note_answer();
+    assert!(engine.lives(at(5_000)));
+    engine.feed(UpstreamState { up: false, ..idle() }, at(6_000));
+    assert!(!engine.lives(at(6_000)));
+    engine.feed(idle(), at(7_000));
+    assert!(engine.lives(at(7_000)));
+    engine.leave();
+    assert!(!engine.lives(at(7_000)));
+}
