--- a/crates/bilberry-gateway/src/lib.rs
+++ b/crates/bilberry-gateway/src/lib.rs
@@ -58,6 +58,6 @@
 pub use record::LineBudget;
 pub use refusal::Refusal;
 pub use upstream::Listed;
-pub use upstream::Seat;
 pub use upstream::Upstream;
+pub use upstream::seat::Seat;
 pub use upstreams::Upstreams;
