--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -19,13 +19,11 @@
 use bilberry_core::Transfer;
 use bilberry_core::UnixMs;
 use bilberry_core::Weights;
-use bilberry_core::part_key;
 use bilberry_core::place;
 use bilberry_wire::CacheChange;
 use bilberry_wire::UpstreamState;
 use tokio::time::timeout;
 
-use crate::Call;
 use crate::Connections;
 use crate::Dialect;
 use crate::GatewayMetrics;
@@ -309,8 +307,6 @@
         self.note_weights_seen(&job.pool.name, &model, now);
         let can_fetch = self.prompt_store().is_some();
         let demand = job.demand(can_fetch, self.pace.token_us(&job.pool.name));
-        // Most upstreams have the same weights, and so the same salt.
-        let mut salts: HashMap<u64, String> = HashMap::new();
         let offers: Vec<Offer> = upstreams
             .iter()
             .map(|upstream| {
@@ -319,8 +315,7 @@
                 offer.usable &= !job.has_tried(upstream);
                 offer.weights = self.judge_weights(upstream, &model, now);
                 if let Some(version) = upstream.weights(&model, now) {
-                    let salt = salts.entry(version).or_insert_with(|| job.salt(version));
-                    offer.held_tokens = held_tokens(upstream, salt, &job.call, now);
+                    offer.held_tokens = job.keys(version).held_tokens(upstream, now);
                 }
                 offer
             })
@@ -376,15 +371,3 @@
         }
     }
 }
-
-/// Returns how many shared tokens of a call an upstream holds.
-pub(crate) fn held_tokens(
-    upstream: &Upstream,
-    salt: &str,
-    call: &Call,
-    now: UnixMs,
-) -> u64 {
-    let parts = call.shared_parts().iter();
-    let held = parts.take_while(|part| upstream.holds(part_key(salt, part.id), now));
-    held.map(|part| part.tokens).sum()
-}
