--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use arc_swap::ArcSwapOption;
 use bilberry_core::BudgetTerms;
 use bilberry_core::Clock;
+use bilberry_core::EntryCount;
 use bilberry_core::Freshness;
 use bilberry_core::LinkShare;
 use bilberry_core::Name;
@@ -86,6 +87,7 @@
     policy_fresh: Mutex<Freshness>,
     budgets: Mutex<HashMap<Name, SharedBudget>>,
     outages: Mutex<HashMap<Name, Outage>>,
+    entries: Mutex<EntryCount>,
     prompt_store_up: AtomicBool,
     stopping: AtomicBool,
 }
@@ -109,6 +111,7 @@
             policy_fresh: Mutex::default(),
             budgets: Mutex::default(),
             outages: Mutex::default(),
+            entries: Mutex::default(),
             prompt_store_up: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
         }
@@ -201,7 +204,7 @@
     /// Asks for one repeat.
     pub(crate) fn may_repeat(&self, pool: &Name) -> bool {
         let now = self.clock.now();
-        let entries = self.entries_seen(now);
+        let entries = self.entries.lock().unwrap().get();
         self.with_budget(pool, |budget| budget.spend(now, entries))
     }
 
@@ -213,6 +216,8 @@
         let place = policy.prompt_store().and_then(|store| store.place.as_ref());
         let transfer = Transfer { tokens, same_place: place == Some(&upstream.place) };
         let now = self.clock.now();
+        // Not kept while nobody tells, unlike for repeats: the same sidecars tell what
+        // the store holds, and fetches on a guess would crowd its link.
         let entries = self.entries_seen(now);
         self.store_link.lock().unwrap().take(now, transfer, tokens_per_s, entries)
     }
@@ -339,7 +344,9 @@
 
     /// Takes over what the sidecar of an upstream says.
     pub fn hear(&self, id: &Name, state: UpstreamState) {
-        let ended = self.upstreams.feed(id, state, self.clock.now());
+        let now = self.clock.now();
+        self.entries.lock().unwrap().hear(now, state.entries as usize);
+        let ended = self.upstreams.feed(id, state, now);
         ended.iter().for_each(|ended| self.note_end(ended));
     }
 
