An engine of which no weights are told gets no prompt

Cause: where the list names no models for an engine and no sidecar is heard, an entry sent prompts without a version and without a salt, so they were cached where every customer and every version finds them. Change: such an engine is not placed on.

--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -310,6 +310,7 @@
         self.note_outage(&job.pool.name, &upstreams, now);
         let model = job.call.model.clone().unwrap_or_default();
         self.note_weights_seen(&job.pool.name, &model, now);
+        let needs_weights = job.call.model.is_some() && job.pool.engine.is_some();
         let can_fetch = self.prompt_store().is_some();
         let demand = job.demand(can_fetch, self.pace.token_us(&job.pool.name));
         let offers: Vec<Offer> = upstreams
@@ -319,8 +320,13 @@
                     upstream.offer(now, &self.settings.place, job.pool.engine);
                 offer.usable &= !job.has_tried(upstream);
                 offer.weights = self.judge_weights(upstream, &model, now);
-                if let Some(version) = upstream.weights(&model, now) {
-                    offer.held_tokens = job.keys(version).held_tokens(upstream, now);
+                match upstream.weights(&model, now) {
+                    Some(version) => {
+                        offer.held_tokens = job.keys(version).held_tokens(upstream, now);
+                    }
+                    // Without a version no salt can be named, and the prompt would
+                    // be cached where every customer and every version finds it.
+                    None => offer.usable &= !needs_weights,
                 }
                 offer
             })
