--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -1,5 +1,6 @@
 //! What an entry knows of one upstream at this moment.
 
+mod live;
 pub(crate) mod seat;
 
 use std::collections::HashMap;
@@ -17,10 +18,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::EngineTerms;
+use crate::Listed;
 use crate::ServerLoad;
-
-/// How long a sidecar's word counts; it repeats itself three times as often.
-const FEED_FRESH_MS: u64 = 1_500;
+use crate::upstream::live::Live;
 
 /// For how long a part counts as held after it was read or used there.
 ///
@@ -45,29 +45,6 @@
 /// The version of weights that are not there; those that are count from 1.
 const NO_WEIGHTS: u64 = 0;
 
-/// An upstream as the platform lists it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Listed {
-    /// Its identity.
-    pub id: Name,
-    /// Its service.
-    pub pool: Name,
-    /// Its address.
-    pub address: SocketAddr,
-    /// Its data centre.
-    pub place: Name,
-    /// Requests that it runs at once.
-    pub slots: u64,
-    /// Whether it leaves.
-    pub leaving: bool,
-    /// The models that it serves, with the versions of their weights.
-    pub models: Vec<(Name, u64)>,
-    /// When it was first listed, as a number that grows with each new entry.
-    pub listed_at: u64,
-    /// Which of its starts this is, if it tells it.
-    pub incarnation: Option<Incarnation>,
-}
-
 /// One incarnation of an upstream and what is known of it.
 ///
 /// Where it starts again under its identity another value takes its place, so that
@@ -92,54 +69,10 @@
     lost: watch::Sender<bool>,
 }
 
-#[derive(Debug)]
-struct Live {
-    slots: u64,
-    leaving: bool,
-    /// Whether it has started again since, so that this is over.
-    ended: bool,
-    incarnation: Option<Incarnation>,
-    /// Whether the list names this start, or it has answered under its identity.
-    confirmed: bool,
-    listed_models: Vec<(Name, u64)>,
-    feed: Option<(UpstreamState, UnixMs)>,
-    cache_epoch: u64,
-    loads_at: Option<UnixMs>,
-    load: Option<ServerLoad>,
-    in_progress: u64,
-    sent_since_feed: u64,
-    tokens_since_feed: u64,
-    pending_tokens: u64,
-    reserved_tokens: u64,
-    failures: u32,
-    suspect_until: UnixMs,
-    /// Whether its sidecar or the last send says that it is gone.
-    seems_gone: bool,
-}
-
 impl Upstream {
     /// Creates an upstream that nothing but the list is known of.
     pub fn new(listed: &Listed) -> Self {
-        let live = Live {
-            slots: listed.slots,
-            leaving: listed.leaving,
-            ended: false,
-            incarnation: listed.incarnation,
-            confirmed: true,
-            listed_models: listed.models.clone(),
-            feed: None,
-            cache_epoch: 0,
-            loads_at: None,
-            load: None,
-            in_progress: 0,
-            sent_since_feed: 0,
-            tokens_since_feed: 0,
-            pending_tokens: 0,
-            reserved_tokens: 0,
-            failures: 0,
-            suspect_until: UnixMs(0),
-            seems_gone: false,
-        };
+        let live = Live::new(listed);
         Self {
             id: listed.id.clone(),
             pool: listed.pool.clone(),
@@ -448,21 +381,3 @@
         }
     }
 }
-
-impl Live {
-    fn fresh_feed(&self, now: UnixMs) -> Option<&UpstreamState> {
-        let fresh = |at: UnixMs| now.ms_since(at) < FEED_FRESH_MS;
-        self.feed.as_ref().filter(|(_, at)| fresh(*at)).map(|(state, _)| state)
-    }
-
-    fn told_weights(&self, model: &str, now: UnixMs) -> Option<u64> {
-        let models = &self.fresh_feed(now)?.models;
-        models.iter().find(|found| found.model == model).map(|found| found.version)
-    }
-
-    fn takes_work(&self, now: UnixMs) -> bool {
-        let fed = self.fresh_feed(now).is_none_or(|state| state.up && !state.loading);
-        let is_free = self.confirmed || self.in_progress == 0;
-        fed && is_free && !self.leaving && self.suspect_until.has_passed_at(now)
-    }
-}
