Older weights are given up two seconds before their bound

Now that namings in a row no longer hide it, the bound is reached more often, and what waits at a server has to begin before it.

--- a/crates/bilberry-core/src/placement.rs
+++ b/crates/bilberry-core/src/placement.rs
@@ -53,7 +53,7 @@
 ///
 /// Covers what an entry hears late of a naming, some milliseconds, and the wait of a
 /// request at its server.
-const OLD_WEIGHTS_MARGIN_MS: u64 = 1_500;
+const OLD_WEIGHTS_MARGIN_MS: u64 = 2_000;
 
 /// What it costs a request to run wholly past a load of weights, in prompt tokens.
 ///
