A server's weights are read once for each placing; what lives is what is not down

Placing read an upstream's version twice and judged one reading with the other; what lives stated the conditions of what is down once more.

--- a/crates/bilberry-gateway/src/backup.rs
+++ b/crates/bilberry-gateway/src/backup.rs
@@ -57,8 +57,9 @@
     ) -> Option<Answer> {
         let backup = job.backup.take()?;
         let model = job.call.model.as_deref().unwrap_or_default();
-        let barred =
-            self.judge_weights(&backup, model, self.clock.now()) == Weights::Barred;
+        let now = self.clock.now();
+        let version = backup.weights(model, now);
+        let barred = self.judge_weights(version, model, now) == Weights::Barred;
         if barred || backup.is_leaving() || !self.may_repeat(&job.pool.name) {
             return None;
         }
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -286,21 +286,22 @@
         let mut upstreams = self.upstreams.of(&job.pool.name);
         upstreams.retain(|upstream| !upstream.is_leaving());
         let is_barred = |upstream: &Arc<Upstream>| {
-            self.judge_weights(upstream, model, now) == Weights::Barred
+            let version = upstream.weights(model, now);
+            self.judge_weights(version, model, now) == Weights::Barred
                 && !upstream.may_load_by(until, now)
         };
         !upstreams.is_empty() && upstreams.iter().all(is_barred)
     }
 
-    /// Judges whether an upstream's weights may still serve.
+    /// Judges whether an upstream with this version of a model's weights may still
+    /// serve.
     pub(crate) fn judge_weights(
         &self,
-        upstream: &Upstream,
+        version: Option<u64>,
         model: &str,
         now: UnixMs,
     ) -> Weights {
-        let lacking_ms =
-            self.weights.lacking_ms(model, upstream.weights(model, now), now);
+        let lacking_ms = self.weights.lacking_ms(model, version, now);
         Weights::lacking(lacking_ms, self.settings.weights_bound_ms)
     }
 
@@ -319,8 +320,9 @@
                 let mut offer =
                     upstream.offer(now, &self.settings.place, job.pool.engine);
                 offer.usable &= !job.has_tried(upstream);
-                offer.weights = self.judge_weights(upstream, &model, now);
-                match upstream.weights(&model, now) {
+                let version = upstream.weights(&model, now);
+                offer.weights = self.judge_weights(version, &model, now);
+                match version {
                     Some(version) => {
                         offer.held_tokens = job.keys(version).held_tokens(upstream, now);
                     }
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -343,8 +343,7 @@
 
     /// Reports whether its sidecar says that it is down.
     pub fn is_down(&self, now: UnixMs) -> bool {
-        let live = self.live.lock().unwrap();
-        live.leaving || live.fresh_feed(now).is_some_and(|state| !state.up)
+        self.live.lock().unwrap().is_down(now)
     }
 
     /// Reports whether it may have other weights by `until`, as its sidecar tells.
@@ -359,8 +358,7 @@
     /// Reports whether it lives, as far as its sidecar and the last send say.
     pub fn lives(&self, now: UnixMs) -> bool {
         let live = self.live.lock().unwrap();
-        let fed = live.fresh_feed(now).is_none_or(|state| state.up);
-        fed && !live.leaving && live.failures == 0
+        !live.is_down(now) && live.failures == 0
     }
 
     /// Reports whether its sidecar spoke lately.
--- a/crates/bilberry-gateway/src/upstream/live.rs
+++ b/crates/bilberry-gateway/src/upstream/live.rs
@@ -73,6 +73,10 @@
         models.iter().find(|found| found.model == model).map(|found| found.version)
     }
 
+    pub(super) fn is_down(&self, now: UnixMs) -> bool {
+        self.leaving || self.fresh_feed(now).is_some_and(|state| !state.up)
+    }
+
     pub(super) fn takes_work(&self, now: UnixMs) -> bool {
         let fed = self.fresh_feed(now).is_none_or(|state| state.up && !state.loading);
         let is_free = self.confirmed || self.in_progress == 0;
