Each subject has one of all stores of kept prompts, by rank

Cause: where several services are stores of kept prompts, each process took the first that a hash map gave it. What one entry had kept others looked for in another store, one sidecar followed one of them, and one link's share stood for all.

Change: a subject is kept at its home among the stores that answer, ranked by hashing as engines are; each store has its own follower, share of its link and knowledge of what it holds. A change of a store names the store (a new number on the wire, as the old one did not).

Ruled out: that all take the same one.

Sites with one store: nothing changes.

--- a/crates/bilberry-core/src/lib.rs
+++ b/crates/bilberry-core/src/lib.rs
@@ -91,6 +91,7 @@
 pub use routing::Weighing;
 pub use routing::candidates;
 pub use routing::choose;
+pub use routing::home;
 pub use routing::patience_ms;
 pub use routing::rendezvous;
 pub use shared_budget::BudgetTerms;
--- a/crates/bilberry-core/src/routing.rs
+++ b/crates/bilberry-core/src/routing.rs
@@ -54,6 +54,13 @@
     }
 }
 
+/// Returns the position of a hash's home among `seeds`; `None` where there are none.
+///
+/// All who see the same seeds agree, and one that goes moves only what it was home to.
+pub fn home(hash: u64, seeds: &[u64]) -> Option<usize> {
+    (0..seeds.len()).max_by_key(|&at| rank(hash, seeds[at]))
+}
+
 /// Returns the rank of an upstream for a hash; the highest is the hash's home.
 pub(crate) fn rank(hash: u64, upstream_seed: u64) -> u64 {
     xxh3_64_with_seed(&hash.to_le_bytes(), upstream_seed)
--- a/crates/bilberry-gateway/src/dispatch.rs
+++ b/crates/bilberry-gateway/src/dispatch.rs
@@ -18,6 +18,7 @@
 use crate::Job;
 use crate::MemoryCopy;
 use crate::PromptKeys;
+use crate::PromptStore;
 use crate::Seat;
 
 impl<D: Dialect, C: Clock> Gateway<D, C> {
@@ -68,18 +69,26 @@
         let keys = job.keys(weights);
         let shared_tokens = job.call.shared_tokens();
         if shared_tokens > 0 {
-            dispatch.fetch_from = self.source(job, seat, &keys);
-            let lacking = shared_tokens - keys.kept_tokens(&self.kept, now);
+            let store = self.stores.home(job.affinity());
+            dispatch.fetch_from = self.source(job, seat, &keys, store.as_deref());
             let own = job.call.prompt_tokens.saturating_sub(shared_tokens);
-            dispatch.save_to =
-                self.prompt_store().filter(|_| is_worth_keeping(lacking, own));
+            dispatch.save_to = store.and_then(|store| {
+                let lacking = shared_tokens - keys.kept_tokens(&store.kept, now);
+                is_worth_keeping(lacking, own).then_some(store.terms.address)
+            });
         }
         dispatch.weights = Some(weights);
         dispatch.salt = Some(keys.salt().to_string());
     }
 
     /// Returns where an upstream may fetch what it lacks of the shared prompt.
-    fn source(&self, job: &Job, seat: &Seat, keys: &PromptKeys) -> Option<SocketAddr> {
+    fn source(
+        &self,
+        job: &Job,
+        seat: &Seat,
+        keys: &PromptKeys,
+        store: Option<&PromptStore>,
+    ) -> Option<SocketAddr> {
         let now = self.clock.now();
         let own_tokens = keys.held_tokens(&seat.upstream, now);
         let peers = self.upstreams.of(&job.pool.name);
@@ -90,21 +99,20 @@
             same_place: peer.place == seat.upstream.place,
         });
         let copies: Vec<_> = copies.collect();
-        let store = self.prompt_store();
-        let kept = store.map(|_| keys.kept_tokens(&self.kept, now));
-        let chosen = match choose_source(own_tokens, &copies, kept)? {
-            Source::Store => {
+        let kept = store.map(|store| keys.kept_tokens(&store.kept, now));
+        let chosen = match (choose_source(own_tokens, &copies, kept)?, store) {
+            (Source::Store, Some(store)) => {
                 let tokens = kept.unwrap_or_default().saturating_sub(own_tokens);
-                match self.may_use_store_link(tokens, &seat.upstream) {
+                match self.may_use_link(store, tokens, &seat.upstream) {
                     true => Source::Store,
                     false => choose_source(own_tokens, &copies, None)?,
                 }
             }
-            peer => peer,
+            (chosen, _) => chosen,
         };
         match chosen {
             Source::Peer(at) => Some(others[at].address),
-            Source::Store => store,
+            Source::Store => store.map(|store| store.terms.address),
         }
     }
 
@@ -115,9 +123,8 @@
             return;
         };
         let now = self.clock.now();
-        for key in job.keys(weights).keys() {
-            seat.upstream.expect_part(key, now);
-            self.kept.note(&seat.upstream.id, key, now);
-        }
+        let keys: Vec<u64> = job.keys(weights).keys().collect();
+        keys.iter().for_each(|&key| seat.upstream.expect_part(key, now));
+        self.stores.note_read(&seat.upstream.id, &keys, now);
     }
 }
--- a/crates/bilberry-gateway/src/feeds.rs
+++ b/crates/bilberry-gateway/src/feeds.rs
@@ -7,6 +7,7 @@
 
 use bilberry_core::Clock;
 use bilberry_core::Name;
+use bilberry_core::home;
 use bilberry_wire::Body;
 use bilberry_wire::EntryNotice;
 use bilberry_wire::Frame;
@@ -84,7 +85,7 @@
         if let Some(upstream) = gateway.upstreams.get(&id) {
             upstream.forget_feed();
         }
-        gateway.kept.forget_teller(&id);
+        gateway.stores.forget_teller(&id, &[]);
         if std::mem::take(&mut told) {
             let reason =
                 outcome.err().map_or_else(String::new, |error| error.to_string());
@@ -115,10 +116,8 @@
             return Ok(());
         }
         let notice = notice(gateway, &upstream);
-        if notice.prompt_store.is_empty() {
-            gateway.kept.forget_teller(id);
-        }
         if noticed.as_ref() != Some(&notice) {
+            gateway.stores.forget_teller(id, &notice.prompt_stores);
             let body = Some(Body::EntryNotice(notice.clone()));
             framed.send(Frame { body, ..Frame::default() }).await?;
             noticed = Some(notice);
@@ -132,7 +131,7 @@
                 None
             }
             Some(Body::StoreChange(change)) => {
-                gateway.kept.tell(id, &change);
+                gateway.stores.tell(id, &change);
                 None
             }
             _ => None,
@@ -176,26 +175,26 @@
         servers: peers.len() as u64,
         down: down as u64,
         newest: upstream.models(now).into_iter().map(newest).collect(),
-        prompt_store: store_to_follow(gateway, upstream, &peers),
+        prompt_stores: stores_to_follow(gateway, upstream, &peers),
     }
 }
 
-/// Returns the address of the store that this sidecar is to follow, if any.
+/// Returns the addresses of the stores that this sidecar is to follow.
 ///
-/// The first in the agreed order whose sidecar is heard does it, so that all
-/// entries ask the same one and the store answers one question for all of them.
-fn store_to_follow<D: Dialect, C: Clock>(
+/// A store answers few such questions at once, so all entries ask one sidecar for each
+/// of them: of those that are heard, the first in an agreed order of the store's own.
+fn stores_to_follow<D: Dialect, C: Clock>(
     gateway: &Gateway<D, C>,
     upstream: &Arc<Upstream>,
     peers: &[Arc<Upstream>],
-) -> String {
+) -> Vec<String> {
     let now = gateway.clock.now();
     let heard = peers.iter().filter(|peer| peer.is_followed(now) && !peer.is_leaving());
-    let first = heard.min_by_key(|peer| peer.seed);
-    match gateway.prompt_store() {
-        Some(store) if first.is_some_and(|first| first.id == upstream.id) => {
-            store.to_string()
-        }
-        _ => String::new(),
-    }
+    let seeds: Vec<u64> = heard.map(|peer| peer.seed).collect();
+    let stores = gateway.stores.answering().into_iter();
+    let followed = stores.filter(|store| {
+        let follower = home(store.seed, &seeds).map(|at| seeds[at]);
+        follower == Some(upstream.seed)
+    });
+    followed.map(|store| store.terms.address.to_string()).collect()
 }
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -12,12 +12,10 @@
 use bilberry_core::Clock;
 use bilberry_core::EntryCount;
 use bilberry_core::Freshness;
-use bilberry_core::LinkShare;
 use bilberry_core::Name;
 use bilberry_core::Offer;
 use bilberry_core::Outage;
 use bilberry_core::SharedBudget;
-use bilberry_core::Transfer;
 use bilberry_core::UnixMs;
 use bilberry_core::Weights;
 use bilberry_core::place;
@@ -29,12 +27,13 @@
 use crate::Dialect;
 use crate::GatewayMetrics;
 use crate::Job;
-use crate::KeptParts;
 use crate::KnownWeights;
 use crate::LineBudget;
 use crate::Listed;
 use crate::Pace;
 use crate::Policy;
+use crate::PromptStore;
+use crate::PromptStores;
 use crate::Refusal;
 use crate::Seat;
 use crate::Upstream;
@@ -76,19 +75,17 @@
     pub connections: Connections<C>,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
-    /// What the store of kept prompts should have.
-    pub kept: KeptParts,
+    /// The stores of kept prompts.
+    pub stores: PromptStores,
     /// The weights that were named.
     pub weights: KnownWeights,
     pub(crate) pace: Pace,
-    store_link: Mutex<LinkShare>,
     pub(crate) lines: LineBudget,
     policy: ArcSwapOption<Policy>,
     policy_fresh: Mutex<Freshness>,
     budgets: Mutex<HashMap<Name, SharedBudget>>,
     outages: Mutex<HashMap<Name, Outage>>,
     entries: Mutex<EntryCount>,
-    prompt_store_up: AtomicBool,
     stopping: AtomicBool,
 }
 
@@ -102,17 +99,15 @@
             settings,
             upstreams: Upstreams::default(),
             metrics: GatewayMetrics::new(),
-            kept: KeptParts::default(),
+            stores: PromptStores::default(),
             weights: KnownWeights::default(),
             pace: Pace::default(),
-            store_link: Mutex::default(),
             lines: LineBudget::default(),
             policy: ArcSwapOption::empty(),
             policy_fresh: Mutex::default(),
             budgets: Mutex::default(),
             outages: Mutex::default(),
             entries: Mutex::default(),
-            prompt_store_up: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
         }
     }
@@ -137,6 +132,7 @@
         );
         self.metrics.config_version.set(policy.version as i64);
         self.upstreams.name_pools(policy.pools.keys().cloned());
+        self.stores.name(&policy);
         self.policy.store(Some(Arc::new(policy)));
     }
 
@@ -179,22 +175,6 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
-    /// Notes whether the store of cached prompts answers.
-    pub fn set_prompt_store(&self, up: bool) {
-        if !up {
-            self.kept.clear();
-        }
-        self.prompt_store_up.store(up, Ordering::Relaxed);
-    }
-
-    /// Returns the address of the store of cached prompts, if it answers.
-    pub fn prompt_store(&self) -> Option<std::net::SocketAddr> {
-        match self.prompt_store_up.load(Ordering::Relaxed) {
-            true => self.policy()?.prompt_store().map(|store| store.address),
-            false => None,
-        }
-    }
-
     /// Counts a request towards its service's budget of repeats.
     pub(crate) fn count_request(&self, pool: &Name) {
         let now = self.clock.now();
@@ -208,18 +188,17 @@
         self.with_budget(pool, |budget| budget.spend(now, entries))
     }
 
-    /// Asks for a transfer between the store of kept prompts and an upstream.
-    pub(crate) fn may_use_store_link(&self, tokens: u64, upstream: &Upstream) -> bool {
-        let Some(policy) = self.policy() else { return false };
-        // Where nobody told how much it carries, nothing bounds its use.
-        let Some(tokens_per_s) = policy.store_tokens_per_s() else { return true };
-        let place = policy.prompt_store().and_then(|store| store.place.as_ref());
-        let transfer = Transfer { tokens, same_place: place == Some(&upstream.place) };
+    /// Asks for a transfer between a store of kept prompts and an upstream.
+    pub(crate) fn may_use_link(
+        &self,
+        store: &PromptStore,
+        tokens: u64,
+        upstream: &Upstream,
+    ) -> bool {
         let now = self.clock.now();
         // Not kept while nobody tells, unlike for repeats: the same sidecars tell what
         // the store holds, and fetches on a guess would crowd its link.
-        let entries = self.entries_seen(now);
-        self.store_link.lock().unwrap().take(now, transfer, tokens_per_s, entries)
+        store.may_move(now, tokens, &upstream.place, self.entries_seen(now))
     }
 
     /// Returns how many entries there are, if any sidecar tells.
@@ -312,7 +291,7 @@
         let model = job.call.model.clone().unwrap_or_default();
         self.note_weights_seen(&job.pool.name, &model, now);
         let needs_weights = job.call.model.is_some() && job.pool.engine.is_some();
-        let can_fetch = self.prompt_store().is_some();
+        let can_fetch = self.stores.any_answers();
         let demand = job.demand(can_fetch, self.pace.token_us(&job.pool.name));
         let offers: Vec<Offer> = upstreams
             .iter()
@@ -362,14 +341,14 @@
     pub fn note_cache(&self, id: &Name, change: &CacheChange) {
         let now = self.clock.now();
         if self.upstreams.cache_change(id, change, now) {
-            change.added.iter().for_each(|&key| self.kept.note(id, key, now));
+            self.stores.note_read(id, &change.added, now);
         }
     }
 
     /// Forgets what was known of an incarnation that is over.
     fn note_end(&self, ended: &Upstream) {
         // What it was to give to the store of kept prompts may never have left it.
-        self.kept.forget_giver(&ended.id);
+        self.stores.forget_giver(&ended.id);
         self.connections.drop_idle(ended.address);
         log::info!(target: "upstream", upstream = ended.id.as_str(); "started again");
     }
--- a/crates/bilberry-gateway/src/held.rs
+++ b/crates/bilberry-gateway/src/held.rs
@@ -1,4 +1,4 @@
-//! Which shared prompts the store of kept prompts should have.
+//! Which shared prompts a store of kept prompts should have.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -24,7 +24,7 @@
 /// prompt that is asked for twice within that time would be given twice.
 const TOLD_WITHIN_MS: u64 = 500;
 
-/// What the store of kept prompts should have.
+/// What one store of kept prompts should have.
 ///
 /// A sidecar that follows the store tells what it holds. While none does, each
 /// upstream that reads a part under a new salt is taken to have sent it there.
--- a/crates/bilberry-gateway/src/job.rs
+++ b/crates/bilberry-gateway/src/job.rs
@@ -78,14 +78,18 @@
         self.route.kind.is_repeatable() && runs < self.route.max_attempts
     }
 
+    /// Returns what requests with the same shared prompt have in common.
+    pub fn affinity(&self) -> u64 {
+        let part = self.call.shared_parts().last().map(|part| part.id);
+        // Without a shared prompt any upstream will do; the attempt spreads them.
+        part.unwrap_or_else(|| xxh3_64(self.call.attempt.as_bytes()))
+    }
+
     /// Returns what the request asks of an upstream.
     pub fn demand(&self, can_fetch: bool, token_us: u64) -> Demand {
         let shared_tokens = self.call.shared_tokens();
-        let part = self.call.shared_parts().last().map(|part| part.id);
-        // Without a shared prompt any upstream will do; the attempt spreads them.
-        let spread = || xxh3_64(self.call.attempt.as_bytes());
         Demand {
-            affinity: part.unwrap_or_else(spread),
+            affinity: self.affinity(),
             shared_tokens,
             own_tokens: self.call.prompt_tokens.saturating_sub(shared_tokens),
             output_tokens: self.call.output_tokens,
--- a/crates/bilberry-gateway/src/policy.rs
+++ b/crates/bilberry-gateway/src/policy.rs
@@ -147,14 +147,14 @@
         routes.iter().find(|route| path.starts_with(route.prefix.as_str()))
     }
 
-    /// Returns the store of cached prompts, if there is one.
-    pub fn prompt_store(&self) -> Option<&PromptStoreTerms> {
-        self.pools.values().find_map(|pool| pool.prompt_store.as_ref())
+    /// Returns the stores of cached prompts.
+    pub fn prompt_stores(&self) -> impl Iterator<Item = &PromptStoreTerms> {
+        self.pools.values().filter_map(|pool| pool.prompt_store.as_ref())
     }
 
-    /// Returns how many tokens a second the store's link carries, if that is told.
-    pub fn store_tokens_per_s(&self) -> Option<f64> {
-        let link_mbps = self.prompt_store()?.link_mbps?;
+    /// Returns how many tokens a second a store's link carries, if that is told.
+    pub fn store_tokens_per_s(&self, store: &PromptStoreTerms) -> Option<f64> {
+        let link_mbps = store.link_mbps?;
         let engines = self.pools.values().filter_map(|pool| pool.engine);
         let token_bytes = engines.map(|engine| engine.token_bytes).max()?;
         let bytes_per_s = link_mbps * 1_000_000.0 / 8.0;
--- a/crates/bilberry-steward/src/feed.rs
+++ b/crates/bilberry-steward/src/feed.rs
@@ -11,10 +11,12 @@
 use bilberry_wire::CacheChange;
 use bilberry_wire::Frame;
 use bilberry_wire::FrameCodec;
+use bilberry_wire::StoreChange;
 use bilberry_wire::UpstreamState;
 use bilberry_wire::WireError;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
+use futures_util::future::select_all;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::broadcast;
@@ -115,7 +117,7 @@
     let mut framed = Framed::new(stream, FrameCodec::new());
     let mut state = feed.state.clone();
     let mut cache = Subscription::of(feed.cache.clone());
-    let mut store = None;
+    let mut stores = Vec::new();
     let mut told_born_ms = None;
     loop {
         let told = state.borrow_and_update().clone();
@@ -149,19 +151,22 @@
                 change = cache.next() => {
                     send(&mut framed, Body::CacheChange(change)).await?;
                 }
-                change = next_of(&mut store) => {
+                change = next_of(&mut stores) => {
                     send(&mut framed, Body::StoreChange(change)).await?;
                 }
                 frame = framed.next() => {
                     let Some(frame) = frame else { return Ok(()) };
                     let Some(Body::EntryNotice(notice)) = frame?.body else { continue };
                     feed.newest.hear_entry(&notice, feed.clock.now());
-                    let wanted = notice.prompt_store.parse::<SocketAddr>().ok();
-                    if store.as_ref().map(|store: &StoreSubscription| store.address) != wanted {
-                        store = wanted.map(|address| StoreSubscription::new(address, &feed.stores));
-                        if let Some(store) = &mut store {
-                            send(&mut framed, Body::StoreChange(store.parts.all())).await?;
+                    let wanted = addresses(&notice.prompt_stores);
+                    stores.retain(|store: &StoreSubscription| wanted.contains(&store.address));
+                    for address in wanted {
+                        if stores.iter().any(|store| store.address == address) {
+                            continue;
                         }
+                        let mut store = StoreSubscription::new(address, &feed.stores);
+                        send(&mut framed, Body::StoreChange(store.all())).await?;
+                        stores.push(store);
                     }
                 },
             }
@@ -212,14 +217,34 @@
         let store = stores.follow(address);
         Self { address, parts: Subscription::of(store.view.clone()), _store: store }
     }
+
+    /// Returns all that the store held when the subscription began.
+    fn all(&mut self) -> StoreChange {
+        let change = self.parts.all();
+        self.told(change)
+    }
+
+    async fn next(&mut self) -> StoreChange {
+        let change = self.parts.next().await;
+        self.told(change)
+    }
+
+    fn told(&self, change: CacheChange) -> StoreChange {
+        StoreChange { store: self.address.to_string(), change: Some(change) }
+    }
 }
 
-/// Waits for the next change of a store; for ever where none is followed.
-async fn next_of(store: &mut Option<StoreSubscription>) -> CacheChange {
-    match store {
-        Some(store) => store.parts.next().await,
-        None => std::future::pending().await,
+/// Waits for the next change of any store; for ever where none is followed.
+async fn next_of(stores: &mut [StoreSubscription]) -> StoreChange {
+    if stores.is_empty() {
+        return std::future::pending().await;
     }
+    select_all(stores.iter_mut().map(|store| Box::pin(store.next()))).await.0
+}
+
+/// Reads the addresses of stores; what is no address names none.
+fn addresses(texts: &[String]) -> Vec<SocketAddr> {
+    texts.iter().filter_map(|text| text.parse().ok()).collect()
 }
 
 async fn send(
--- a/crates/bilberry-wire/src/feed.rs
+++ b/crates/bilberry-wire/src/feed.rs
@@ -69,10 +69,21 @@
     /// How many upstreams of the service are down.
     #[prost(uint64, tag = "4")]
     pub down: u64,
-    /// The store of kept prompts that the sidecar is to follow for this entry;
-    /// empty if another one does.
-    #[prost(string, tag = "5")]
-    pub prompt_store: String,
+    /// The addresses of the stores of kept prompts that the sidecar is to follow for
+    /// this entry; others follow the rest.
+    #[prost(string, repeated, tag = "5")]
+    pub prompt_stores: Vec<String>,
+}
+
+/// What changed in one store of kept prompts.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct StoreChange {
+    /// The address of the store.
+    #[prost(string, tag = "1")]
+    pub store: String,
+    /// The parts.
+    #[prost(message, optional, tag = "2")]
+    pub change: Option<CacheChange>,
 }
 
 /// Parts of prompts that an upstream or a store began or ceased to hold.
--- a/crates/bilberry-wire/src/frame.rs
+++ b/crates/bilberry-wire/src/frame.rs
@@ -18,6 +18,7 @@
 use crate::StateAnswer;
 use crate::StateAsk;
 use crate::StatusAnswer;
+use crate::StoreChange;
 use crate::UpstreamState;
 
 /// One message on a connection.
@@ -36,7 +37,7 @@
     #[prost(
         oneof = "Body",
         tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, \
-                                    18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29"
+                                    18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 30"
     )]
     pub body: Option<Body>,
 }
@@ -119,9 +120,11 @@
     /// Tells an entry which parts of prompts an upstream holds.
     #[prost(message, tag = "28")]
     CacheChange(CacheChange),
-    /// Tells an entry which parts the store of kept prompts holds.
-    #[prost(message, tag = "29")]
-    StoreChange(CacheChange),
+    /// Tells an entry which parts a store of kept prompts holds.
+    ///
+    /// Its number is not 29: that one carried changes without the store's address.
+    #[prost(message, tag = "30")]
+    StoreChange(StoreChange),
 }
 
 /// Who opened a connection.
--- a/crates/bilberry-wire/src/lib.rs
+++ b/crates/bilberry-wire/src/lib.rs
@@ -23,6 +23,7 @@
 pub use feed::CacheChange;
 pub use feed::EntryNotice;
 pub use feed::ModelVersion;
+pub use feed::StoreChange;
 pub use feed::UpstreamState;
 pub use frame::Body;
 pub use frame::Frame;
--- a/crates/bilberryd/src/hosted.rs
+++ b/crates/bilberryd/src/hosted.rs
@@ -20,7 +20,7 @@
 use bilberry_core::BudgetTerms;
 use bilberry_gateway::Gateway;
 use bilberry_gateway::GatewaySettings;
-use bilberry_gateway::follow_prompt_store;
+use bilberry_gateway::follow_prompt_stores;
 use bilberry_gateway::follow_sidecars;
 use bilberry_node::GracefulServer;
 use bilberry_node::HttpLimits;
@@ -150,7 +150,7 @@
     let weights = NamedWeightsFollower::new(gateway.clone(), settings.settle_ms);
     tokio::spawn(follow(store, clock, weights));
     tokio::spawn(follow_sidecars(gateway.clone(), settings.peers_port));
-    tokio::spawn(follow_prompt_store(gateway.clone()));
+    tokio::spawn(follow_prompt_stores(gateway.clone()));
     let listener = bind("callers", callers).await?;
     let server = GracefulServer::start(listener, CALLERS, gateway.clone());
     let status = Arc::new(StatusPage { process: gateway.clone() });
