Losses are grouped and a request is explained from log files of many hosts

A request's line says the route's target, how long it waited for parts that others read, and how much of its shared prompt its server need not read, so that the cause of a late answer can be told.

--- a/crates/bilberry-gateway/src/dispatch.rs
+++ b/crates/bilberry-gateway/src/dispatch.rs
@@ -72,6 +72,7 @@
             let store = self.stores.home(job.affinity());
             let supply = self.supply(job, seat, &keys, store.as_deref());
             dispatch.fetch_from = supply.source;
+            job.supplied_tokens = supply.tokens;
             let own = job.call.prompt_tokens.saturating_sub(shared_tokens);
             dispatch.save_to = store.and_then(|store| {
                 let lacking = shared_tokens - keys.kept_tokens(&store.kept, now);
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -238,12 +238,15 @@
         let seat = loop {
             // Asked for before the look, so that no change in between is missed.
             let changed = self.upstreams.changed.notified();
+            let looked_at = self.clock.now();
             let mut look_again_ms = LOOK_AGAIN_MS;
+            let mut awaits_parts = false;
             if let Some(choice) = self.choose(job) {
                 let Some(read_by) = self.awaits_until(job, &choice) else {
                     break Ok(self.take(job, choice));
                 };
-                look_again_ms = read_by.ms_since(self.clock.now());
+                look_again_ms = read_by.ms_since(looked_at);
+                awaits_parts = true;
             }
             let now = self.clock.now();
             let has_none = self.upstreams.is_listed()
@@ -256,6 +259,9 @@
             }
             let nap_ms = until.ms_since(now).min(look_again_ms).max(1);
             let _ = timeout(Duration::from_millis(nap_ms), changed).await;
+            if awaits_parts {
+                job.waited_for_parts_ms += self.clock.now().ms_since(looked_at);
+            }
         };
         let waited_ms = self.clock.now().ms_since(began);
         job.waited_ms += waited_ms;
--- a/crates/bilberry-gateway/src/job.rs
+++ b/crates/bilberry-gateway/src/job.rs
@@ -63,8 +63,12 @@
     pub reads: Option<Reads>,
     /// Until when it waits for shared parts that others read, once it has begun to.
     pub waits_for_parts_until: Option<UnixMs>,
-    /// How long it waited for room.
+    /// How long it waited for room, and for parts that others read.
     pub waited_ms: u64,
+    /// How long of this it waited for parts that others read.
+    pub waited_for_parts_ms: u64,
+    /// The shared tokens that its upstream had or could fetch when it was last sent.
+    pub supplied_tokens: u64,
     /// When the first byte of its answer came, after its arrival.
     pub first_byte_ms: Option<u64>,
     /// Why the last send failed.
@@ -88,6 +92,11 @@
         self.tried.iter().any(|tried| Arc::ptr_eq(tried, upstream))
     }
 
+    /// Reports whether its answer began within the route's target.
+    pub fn is_in_time(&self) -> bool {
+        self.first_byte_ms.is_some_and(|ms| ms <= self.route.target_ms)
+    }
+
     /// Reports whether another run is allowed after this many.
     pub fn may_run_after(&self, runs: u32) -> bool {
         self.route.kind.is_repeatable() && runs < self.route.max_attempts
--- a/crates/bilberry-gateway/src/record.rs
+++ b/crates/bilberry-gateway/src/record.rs
@@ -7,7 +7,8 @@
 
 use crate::Job;
 
-/// How many lines on plain successes are written in a second.
+/// How many lines on plain successes, answered by the first server in time, are written
+/// in a second.
 ///
 /// An entry serves some thirty requests a second; a burst of callers must not
 /// spend its share of a core on lines that say that all is well.
@@ -62,6 +63,10 @@
         weights = job.weights.unwrap_or_default(),
         lacking_ms = job.lacking_ms.unwrap_or_default(),
         waited_ms = job.waited_ms,
+        waited_for_parts_ms = job.waited_for_parts_ms,
+        shared_tokens = job.call.shared_tokens(),
+        supplied_tokens = job.supplied_tokens,
+        target_ms = job.route.target_ms,
         first_byte_ms = job.first_byte_ms.unwrap_or_default(),
         total_ms = now.ms_since(job.arrived_at),
         left_ms = job.deadline.ms_since(now);
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -152,6 +152,8 @@
             reads: None,
             waits_for_parts_until: None,
             waited_ms: 0,
+            waited_for_parts_ms: 0,
+            supplied_tokens: 0,
             first_byte_ms: None,
             detail: String::new(),
         };
--- a/crates/bilberryctl/src/arguments.rs
+++ b/crates/bilberryctl/src/arguments.rs
@@ -13,6 +13,8 @@
 ///   bilberryctl drain lm-3
 ///   bilberryctl timeline --request 5f2c9a
 ///   bilberryctl explain 5f2c9a
+///   bilberryctl explain --logs entry-1.log side-1.log 5f2c9a
+///   bilberryctl losses --logs entry-1.log entry-2.log
 ///
 /// Exit codes: 0 done, 1 refused, 2 wrong use, 3 not reached, 4 lost a race.
 #[derive(Debug, Options)]
@@ -44,8 +46,10 @@
     Drain(DrainArguments),
     /// show the events of all processes in causal order
     Timeline(TimelineArguments),
-    /// show why a request went where it went
+    /// show why a request went where it went, from an entry or from log files
     Explain(ExplainArguments),
+    /// group late, failed and refused requests of log files by cause
+    Losses(LossesArguments),
 }
 
 /// A command without arguments.
@@ -91,12 +95,31 @@
     pub request: Option<String>,
 }
 
-/// `explain REQUEST`.
+/// `explain [--logs FILE...] REQUEST`.
 #[derive(Debug, Options)]
 pub(crate) struct ExplainArguments {
     /// print this help
     pub help: bool,
-    /// the request, as its answer's x-request-id names it
+    /// read log files of many hosts instead of asking an entry
+    #[options(no_short)]
+    pub logs: bool,
+    /// the log files, and last the request, as its caller or its answer names it
     #[options(free, required)]
-    pub request: String,
+    pub words: Vec<String>,
+}
+
+/// `losses --logs FILE...`.
+#[derive(Debug, Options)]
+pub(crate) struct LossesArguments {
+    /// print this help
+    pub help: bool,
+    /// read log files of many hosts
+    #[options(no_short)]
+    pub logs: bool,
+    /// how many seconds are taken together
+    #[options(no_short, default = "2", meta = "SECONDS")]
+    pub window: u64,
+    /// the log files
+    #[options(free)]
+    pub files: Vec<PathBuf>,
 }
--- a/crates/bilberryctl/src/commands.rs
+++ b/crates/bilberryctl/src/commands.rs
@@ -12,6 +12,8 @@
 use crate::arguments::ConfigArguments;
 use crate::client::Client;
 use crate::error::CtlError;
+use crate::explain::explain_logs;
+use crate::losses::losses_of_logs;
 use crate::table::table;
 
 /// Runs the command and returns what to print.
@@ -35,9 +37,23 @@
             (client.get(&path).await?, timeline_table)
         }
         Command::Explain(explain) => {
-            let path = format!("/v1/explain/{}", explain.request);
+            let Some((request, files)) = explain.words.split_last() else {
+                return Err(CtlError::Usage("explain needs a request".to_string()));
+            };
+            if explain.logs {
+                let files: Vec<PathBuf> = files.iter().map(PathBuf::from).collect();
+                return explain_logs(&files, request, arguments.json);
+            }
+            let path = format!("/v1/explain/{request}");
             (client.get(&path).await?, explain_text)
         }
+        Command::Losses(losses) => {
+            if !losses.logs || losses.files.is_empty() {
+                let message = "losses needs --logs and the files".to_string();
+                return Err(CtlError::Usage(message));
+            }
+            return losses_of_logs(&losses.files, losses.window, arguments.json);
+        }
     };
     Ok(print(arguments, &value, render))
 }
--- /dev/null
+++ b/crates/bilberryctl/src/losses.rs
@@ -0,0 +1,115 @@
+//! What was late, failed or refused, grouped by its cause.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+use serde::Serialize;
+
+use crate::error::CtlError;
+use crate::log_lines::LogLine;
+use crate::log_lines::Logs;
+use crate::table::table;
+
+/// How many requests are named for each group.
+const NAMED: usize = 2;
+
+/// How many groups a table shows.
+const ROWS: usize = 40;
+
+/// Requests that were lost in the same way.
+#[derive(Debug, Serialize)]
+struct Group {
+    /// When the window begins, in seconds after the first line.
+    from_s: u64,
+    route: String,
+    cause: String,
+    server: String,
+    requests: u64,
+    examples: Vec<String>,
+}
+
+/// Reads log files and groups what was lost.
+pub(crate) fn losses_of_logs(
+    files: &[PathBuf],
+    window_s: u64,
+    json: bool,
+) -> Result<String, CtlError> {
+    let logs = Logs::read(files)?;
+    let groups = groups(&logs.lines, window_s.max(1));
+    if json {
+        let text = serde_json::to_string(&groups);
+        return Ok(format!("{}\n", text.unwrap_or_default()));
+    }
+    let row = |group: &Group| {
+        vec![
+            group.from_s.to_string(),
+            group.requests.to_string(),
+            group.route.clone(),
+            group.cause.clone(),
+            group.server.clone(),
+            group.examples.join(" "),
+        ]
+    };
+    let rows: Vec<_> = groups.iter().take(ROWS).map(row).collect();
+    let head = ["FROM_S", "REQUESTS", "ROUTE", "CAUSE", "SERVER", "SUCH AS"];
+    let mut text = table(&head, &rows);
+    if groups.len() > ROWS {
+        text.push_str(&format!("{} more groups; --json has all\n", groups.len() - ROWS));
+    }
+    Ok(text + &logs.complaint())
+}
+
+/// Groups lost requests, the largest group first.
+fn groups(lines: &[LogLine], window_s: u64) -> Vec<Group> {
+    let first_ms = lines.first().map_or(0, |line| line.unix_ms);
+    let mut groups: BTreeMap<(u64, String, String, String), Group> = BTreeMap::new();
+    for line in lines.iter().filter(|line| line.is_outcome()) {
+        let Some(cause) = cause(line) else { continue };
+        let from_s = (line.unix_ms - first_ms) / 1_000 / window_s * window_s;
+        let route = line.text("route").to_string();
+        let server =
+            line.text("tried").rsplit(',').next().unwrap_or_default().to_string();
+        let key = (from_s, route.clone(), cause.clone(), server.clone());
+        let fresh =
+            || Group { from_s, route, cause, server, requests: 0, examples: Vec::new() };
+        let group = groups.entry(key).or_insert_with(fresh);
+        group.requests += 1;
+        if group.examples.len() < NAMED {
+            group.examples.push(line.text("request").to_string());
+        }
+    }
+    let mut groups: Vec<Group> = groups.into_values().collect();
+    groups.sort_by_key(|group| std::cmp::Reverse(group.requests));
+    groups
+}
+
+/// Returns why a request was late, failed or refused; `None` if it was served in time.
+pub(crate) fn cause(line: &LogLine) -> Option<String> {
+    let detail = line.text("detail");
+    let why = match detail {
+        "" => String::new(),
+        detail => format!(": {detail}"),
+    };
+    if line.message != "served" {
+        return Some(format!("{}{why}", line.message));
+    }
+    let first_byte_ms = line.number("first_byte_ms");
+    let target_ms = line.number("target_ms");
+    if target_ms == 0 || first_byte_ms <= target_ms {
+        return None;
+    }
+    let waited_ms = line.number("waited_ms");
+    let for_parts_ms = line.number("waited_for_parts_ms");
+    let read_tokens =
+        line.number("shared_tokens").saturating_sub(line.number("supplied_tokens"));
+    let late = match () {
+        _ if line.number("sends") > 1 => format!("sent again{why}"),
+        _ if waited_ms * 2 >= first_byte_ms && for_parts_ms * 2 >= waited_ms => {
+            "waited for parts that others read".to_string()
+        }
+        _ if waited_ms * 2 >= first_byte_ms => "waited for room".to_string(),
+        _ if read_tokens > 0 => "its server read a shared part".to_string(),
+        _ => "slow at its server".to_string(),
+    };
+    Some(format!("late, {late}"))
+}
--- a/crates/bilberryctl/src/main.rs
+++ b/crates/bilberryctl/src/main.rs
@@ -4,6 +4,9 @@
 mod client;
 mod commands;
 mod error;
+mod explain;
+mod log_lines;
+mod losses;
 mod table;
 
 use std::process::ExitCode;
