A started entry connects to stores and sidecars at once

Cause: the sets of stores and sidecars to follow were compared with what is in force every 400 and 200 ms.

Change: both look as soon as the list or the configuration changes.

--- a/crates/bilberry-gateway/src/feeds.rs
+++ b/crates/bilberry-gateway/src/feeds.rs
@@ -30,7 +30,7 @@
 use crate::Upstream;
 use crate::connections::set_options;
 
-/// How often the set of sidecars is compared with the list.
+/// How often the set of sidecars is compared with the list at least.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 
 /// How long a connection to a sidecar may take.
@@ -70,7 +70,9 @@
                 tokio::spawn(follow(gateway.clone(), id.clone(), *address))
             });
         }
-        sleep(LOOK_EVERY).await;
+        // An entry that has just started knows nothing of what engines hold and do; its
+        // callers, a herd after a loss of power, would pay for each moment of that.
+        let _ = timeout(LOOK_EVERY, gateway.upstreams.relisted.notified()).await;
     }
 }
 
--- a/crates/bilberry-gateway/src/prompt_store.rs
+++ b/crates/bilberry-gateway/src/prompt_store.rs
@@ -45,7 +45,8 @@
                 followed.push(Followed { store: store.clone(), following });
             }
         }
-        sleep(PAUSE).await;
+        // An entry that has just started would read anew what the stores have.
+        let _ = timeout(PAUSE, gateway.stores.renamed.notified()).await;
     }
 }
 
--- a/crates/bilberry-gateway/src/prompt_stores.rs
+++ b/crates/bilberry-gateway/src/prompt_stores.rs
@@ -17,6 +17,7 @@
 use bilberry_core::UnixMs;
 use bilberry_core::home;
 use bilberry_wire::StoreChange;
+use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::KeptParts;
@@ -27,6 +28,8 @@
 #[derive(Debug, Default)]
 pub struct PromptStores {
     by_address: Mutex<BTreeMap<SocketAddr, Arc<PromptStore>>>,
+    /// Told whenever the configuration in force has changed.
+    pub renamed: Notify,
 }
 
 /// One store of cached prompts.
@@ -62,6 +65,7 @@
         });
         let named = named.collect();
         *by_address = named;
+        self.renamed.notify_one();
     }
 
     /// Returns all stores, in the order of their addresses.
