--- a/crates/bilberry-core/src/lib.rs
+++ b/crates/bilberry-core/src/lib.rs
@@ -83,6 +83,7 @@
 pub use queue::QueueKey;
 pub use readings::Reading;
 pub use readings::Readings;
+pub use readings::most_wait_for_parts_ms;
 pub use retry::RetryBudget;
 pub use retry::backoff_ms;
 pub use retry::retry_after_ms;
--- a/crates/bilberry-core/src/readings.rs
+++ b/crates/bilberry-core/src/readings.rs
@@ -17,9 +17,20 @@
 /// An engine with much before it may not come to the part for long.
 const WAIT_READINGS: u64 = 2;
 
+/// The part of its target for which a request waits for parts at most.
+///
+/// A caller that waited longer would get its answer late, as the rest of its prompt is
+/// still to be read.
+const WAIT_PART: u64 = 3;
+
 /// How many parts are remembered before those out of date are cleared away.
 const CLEAR_ABOVE: usize = 10_000;
 
+/// Returns for how long a request waits for parts that others read, at most.
+pub fn most_wait_for_parts_ms(target_ms: u64) -> u64 {
+    target_ms / WAIT_PART
+}
+
 /// Shared parts that are read at this moment, and by whom.
 #[derive(Debug, Default)]
 pub struct Readings {
--- a/crates/bilberry-gateway/src/readings.rs
+++ b/crates/bilberry-gateway/src/readings.rs
@@ -3,6 +3,7 @@
 use bilberry_core::Clock;
 use bilberry_core::Reading;
 use bilberry_core::UnixMs;
+use bilberry_core::most_wait_for_parts_ms;
 use bilberry_wire::PartReading;
 use bilberry_wire::ReadingNotice;
 
@@ -14,12 +15,6 @@
 use crate::Upstream;
 use crate::gateway::Choice;
 
-/// The part of its target for which a request waits for shared parts at most.
-///
-/// A part that takes longer to read than that may as well be read twice: the caller
-/// of the second request would get its answer late.
-const WAIT_PART: u64 = 3;
-
 /// How much longer than predicted a reading is waited for, in milliseconds.
 ///
 /// Two steps of an engine and the way there and back.
@@ -30,7 +25,7 @@
     pub(crate) fn awaits_until(&self, job: &mut Job, choice: &Choice) -> Option<UnixMs> {
         let weights = choice.weights?;
         let now = self.clock.now();
-        let most_ms = job.route.target_ms / WAIT_PART;
+        let most_ms = most_wait_for_parts_ms(job.route.target_ms);
         let until =
             *job.waits_for_parts_until.get_or_insert_with(|| now.plus_ms(most_ms));
         if until.has_passed_at(now) {
--- a/crates/bilberry-load/src/decide.rs
+++ b/crates/bilberry-load/src/decide.rs
@@ -5,7 +5,9 @@
 //! knows everything sends them. No process, socket or clock is involved, so a minute of
 //! load takes a second or two and a seed repeats exactly.
 
+mod agenda;
 mod engine;
+mod keys;
 mod load;
 mod policy;
 mod replay;
--- a/crates/bilberry-load/src/decide/replay.rs
+++ b/crates/bilberry-load/src/decide/replay.rs
@@ -1,7 +1,5 @@
 //! The replay itself: arrivals, faults and decisions in the order of their times.
 
-use std::cmp::Ordering;
-use std::collections::BinaryHeap;
 use std::collections::HashSet;
 
 use bilberry_core::Demand;
@@ -12,12 +10,16 @@
 use bilberry_core::Rollout;
 use bilberry_core::RolloutPlace;
 use bilberry_core::UnixMs;
-use bilberry_core::part_key;
+use bilberry_core::most_wait_for_parts_ms;
 use bilberry_core::place;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::decide::agenda::Agenda;
+use crate::decide::agenda::Due;
+use crate::decide::agenda::What;
 use crate::decide::engine::Engine;
 use crate::decide::engine::Work;
+use crate::decide::keys::Keys;
 use crate::decide::load::Arrival;
 use crate::decide::load::Fault;
 use crate::decide::load::LoadFile;
@@ -40,9 +42,6 @@
 /// How often a request is sent at most.
 const MOST_SENDS: usize = 3;
 
-/// The part of its target for which a request waits for a part that another one reads.
-const WAIT_PART: f64 = 3.0;
-
 /// The moment at which the replay begins, for code that counts Unix time.
 const BEGIN: UnixMs = UnixMs(1_000_000);
 
@@ -56,23 +55,6 @@
     Report::new(load, &arrivals, &world.answers, world.tokens_read_again)
 }
 
-/// Something that happens at a moment.
-#[derive(Debug)]
-struct Due {
-    at_ms: f64,
-    order: usize,
-    what: What,
-}
-
-#[derive(Debug)]
-enum What {
-    Place(usize),
-    Tell { from: usize, part: u64, reading: Reading },
-    Crash { share: f64, for_ms: f64 },
-    Name,
-    Load { engine: usize, version: u64 },
-}
-
 struct World<'a> {
     load: &'a LoadFile,
     policy: Policy,
@@ -86,13 +68,7 @@
     read_once: HashSet<u64>,
     tokens_read_again: u64,
     answers: Vec<Answer>,
-    agenda: BinaryHeap<Due>,
-    order: usize,
-}
-
-/// A request as it looks at the engines of one version.
-struct Keys {
-    parts: Vec<(u64, u64)>,
+    agenda: Agenda,
 }
 
 impl<'a> World<'a> {
@@ -112,8 +88,7 @@
             read_once: HashSet::new(),
             tokens_read_again: 0,
             answers: vec![Answer::Failed; arrivals.len()],
-            agenda: BinaryHeap::new(),
-            order: 0,
+            agenda: Agenda::default(),
         };
         for (request, arrival) in arrivals.iter().enumerate() {
             world.put(arrival.at_ms, What::Place(request));
@@ -132,8 +107,7 @@
     }
 
     fn put(&mut self, at_ms: f64, what: What) {
-        self.order += 1;
-        self.agenda.push(Due { at_ms, order: self.order, what });
+        self.agenda.put(at_ms, what);
     }
 
     fn step(&mut self, due: Due) {
@@ -288,8 +262,8 @@
             return None;
         }
         let arrival = &self.arrivals[request];
-        let target_ms = self.load.requests[arrival.kind].target_ms as f64;
-        let until_ms = arrival.at_ms + target_ms / WAIT_PART;
+        let target_ms = self.load.requests[arrival.kind].target_ms;
+        let until_ms = arrival.at_ms + most_wait_for_parts_ms(target_ms) as f64;
         let version = self.engines[engine].version;
         let like = offers.iter().zip(&self.engines).filter(|(_, e)| e.version == version);
         let known = like.map(|(offer, _)| offer.held_tokens).max().unwrap_or_default();
@@ -403,25 +377,7 @@
     }
 
     fn keys(&self, request: usize, engine: usize) -> Keys {
-        let salt = format!("m/{}", self.engines[engine].version);
-        let parts = self.arrivals[request].parts;
-        Keys {
-            parts: parts.map(|(part, tokens)| (part_key(&salt, part), tokens)).to_vec(),
-        }
-    }
-}
-
-impl Keys {
-    /// Returns how many leading parts an entry believes an engine to hold.
-    fn known(&self, engine: &Engine, entry: usize, now_ms: f64, policy: Policy) -> usize {
-        let is_known = |&&(key, _): &&(u64, u64)| {
-            engine.part(key).is_some_and(|held| {
-                let seen = held.by_entry == entry && held.seen_at_ms <= now_ms;
-                let told = policy == Policy::Ours && held.told_for_ms <= now_ms;
-                seen || told || held.since_ms + engine.event_delay_ms <= now_ms
-            })
-        };
-        self.parts.iter().take_while(is_known).count()
+        Keys::new(&self.arrivals[request], self.engines[engine].version)
     }
 }
 
@@ -439,24 +395,3 @@
 fn name(engine: usize) -> Name {
     format!("engine-{engine}").into()
 }
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-
-impl Eq for Due {}
-
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Due {
-    /// The earliest is the greatest, as a heap gives out the greatest first.
-    fn cmp(&self, other: &Self) -> Ordering {
-        other.at_ms.total_cmp(&self.at_ms).then(other.order.cmp(&self.order))
-    }
-}
