--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -28,8 +28,10 @@
 ///
 /// Some cache events never arrive. A part whose end was not told would else count
 /// as held for ever, and every fetch of it would go to the one upstream that does
-/// not have it.
-const HELD_MS: u64 = 6_000;
+/// not have it. A fetch in vain costs a millisecond, a part that is read anew some
+/// hundred: 0.005 of the callers' worth more than with 6 s, and 0.010 more than with
+/// 3 s, mean of twelve paired plays of crashes and new weights on three deployments.
+const HELD_MS: u64 = 12_000;
 
 /// How long an upstream is left alone after its first failure.
 ///
