Parts out of date are cleared away once there are many

Some events that end a part never arrive, and a part that is expected may never be read: both were remembered for ever. an_entry_remembers_no_parts_for_ever: 200,000 before, under 8,000 now.

--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -33,6 +33,13 @@
 /// 3 s, mean of twelve paired plays of crashes and new weights on three deployments.
 const HELD_MS: u64 = 12_000;
 
+/// How many parts of one upstream are remembered before those out of date are cleared
+/// away.
+///
+/// An engine of today caches some hundred shared parts, and some events that end one
+/// never arrive; without this, an entry that runs for weeks would remember them all.
+const CLEAR_PARTS_ABOVE: usize = 4_000;
+
 /// How long an upstream is left alone after its first failure.
 ///
 /// About the time in which a crash shows on the sidecar's feed as well.
@@ -54,6 +61,13 @@
     since.has_passed_at(now) && now.ms_since(since) < HELD_MS
 }
 
+/// Clears away parts that no longer count as held, once there are many.
+fn clear_stale(parts: &mut HashMap<u64, UnixMs>, now: UnixMs) {
+    if parts.len() > CLEAR_PARTS_ABOVE {
+        parts.retain(|_, since| now.ms_since(*since) < HELD_MS);
+    }
+}
+
 /// One incarnation of an upstream and what is known of it.
 ///
 /// Where it starts again under its identity another value takes its place, so that
@@ -212,6 +226,12 @@
             parts.remove(key);
         });
         parts.extend(change.added.iter().map(|&key| (key, now)));
+        clear_stale(&mut parts, now);
+    }
+
+    /// Returns how many parts are remembered, those out of date included.
+    pub fn remembered_parts(&self) -> usize {
+        self.parts.lock().unwrap().len()
     }
 
     /// Notes that it holds a part from `since` on, before its sidecar says so.
@@ -226,6 +246,7 @@
         if !is_held(*since, now) {
             *since = done_by;
         }
+        clear_stale(&mut parts, now);
     }
 
     /// Reports whether it holds a part that others may rely on.
--- a/crates/bilberry-gateway/tests/knowledge.rs
+++ b/crates/bilberry-gateway/tests/knowledge.rs
@@ -145,3 +145,21 @@
     engine.leave();
     assert!(!engine.lives(at(7_000)));
 }
+
+#[test]
+fn an_entry_remembers_no_parts_for_ever() {
+    // An entry runs for weeks beside an engine whose events are lost now and then, and
+    // expects parts whose requests are given up before they are read. No word ever ends
+    // these parts; remembered for ever, they fill the host's memory and the entry ends.
+    let engine = engine();
+    for key in 0..100_000 {
+        let now = at(key * 10);
+        engine.expect_reading(key, now.plus_ms(50), now);
+        let told = CacheChange { added: vec![1_000_000 + key], ..CacheChange::default() };
+        engine.cache_change(&told, now);
+    }
+    assert!(engine.remembered_parts() < 8_000, "{}", engine.remembered_parts());
+    // What was told or is expected last is still known.
+    assert!(engine.holds(1_099_999, at(1_000_000)));
+    assert!(engine.holds(99_999, at(1_000_050)));
+}
