--- a/crates/bilberry-steward/tests/incarnations.rs
+++ b/crates/bilberry-steward/tests/incarnations.rs
@@ -23,6 +23,7 @@
 use bilberry_steward::Steward;
 use bilberry_wire::CacheChange;
 use bilberry_wire::ModelVersion;
+use bilberry_wire::ReadingNotice;
 use tokio::sync::broadcast::Receiver;
 use tokio::sync::watch;
 use tokio::time::timeout;
@@ -194,6 +195,7 @@
         added: parts.iter().map(|&part| part_key("", part)).collect(),
         removed: Vec::new(),
         born_ms: Some(born_ms),
+        reading: Vec::new(),
     }
 }
 
@@ -257,3 +259,24 @@
     assert_eq!(next(&mut changes).await, all(2, &[]));
     assert_eq!(next(&mut changes).await, all(2, &[3]));
 }
+
+#[tokio::test]
+async fn what_an_entry_says_is_read_is_passed_on_for_the_same_start_alone() {
+    // An entry has a part read and says so; its engine restarts before the word is here.
+    // Passed on for the new start, it would have other entries fetch from an engine that
+    // is empty. It is also not held: only the engine's own events say when a part ends.
+    let view = CacheView::new();
+    view.enter(Incarnation { born_at: UnixMs(2) });
+    let (_, mut changes) = view.subscribe();
+    let read = |born_ms| ReadingNotice {
+        read: vec![7],
+        born_ms: Some(born_ms),
+        ..ReadingNotice::default()
+    };
+    view.pass_on(read(1));
+    view.pass_on(read(2));
+    let passed_on = next(&mut changes).await;
+    assert_eq!((passed_on.added, passed_on.born_ms), (vec![7], Some(2)));
+    assert!(changes.is_empty());
+    assert_eq!(view.subscribe().0.added, Vec::<u64>::new());
+}
