--- a/crates/bilberry-core/src/shared_budget.rs
+++ b/crates/bilberry-core/src/shared_budget.rs
@@ -88,8 +88,8 @@
         self.bucket(now);
         // A bucket that is partly out of the window counts with its repeats and without
         // its requests, so that no window at all holds more than is allowed.
-        let oldest = now.0.saturating_sub(self.terms.window_ms);
-        let whole = self.buckets.iter().filter(|bucket| bucket.start.0 > oldest);
+        let window_start = self.window_start(now);
+        let whole = self.buckets.iter().filter(|bucket| bucket.start > window_start);
         let requests: u64 = whole.map(|bucket| bucket.requests).sum();
         let repeats: u64 = self.buckets.iter().map(|bucket| bucket.repeats).sum();
         let slack = entry_share(self.terms.slack, entries);
@@ -101,10 +101,14 @@
         true
     }
 
+    fn window_start(&self, now: UnixMs) -> UnixMs {
+        UnixMs(now.0.saturating_sub(self.terms.window_ms))
+    }
+
     fn bucket(&mut self, now: UnixMs) -> &mut Bucket {
         let start = UnixMs(now.0 / BUCKET_MS * BUCKET_MS);
-        let oldest = UnixMs(now.0.saturating_sub(self.terms.window_ms));
-        self.buckets.retain(|bucket| bucket.start.plus_ms(BUCKET_MS) > oldest);
+        let window_start = self.window_start(now);
+        self.buckets.retain(|bucket| bucket.start.plus_ms(BUCKET_MS) > window_start);
         if self.buckets.back().is_none_or(|bucket| bucket.start < start) {
             self.buckets.push_back(Bucket { start, requests: 0, repeats: 0 });
         }
--- a/crates/bilberry-load/src/decide/engine.rs
+++ b/crates/bilberry-load/src/decide/engine.rs
@@ -9,6 +9,8 @@
 pub(crate) struct Engine {
     /// Until when it is down or loads weights.
     pub(crate) away_until_ms: f64,
+    /// Whether it loads weights, where it is away; else it is down.
+    pub(crate) loads: bool,
     /// When it went away last.
     pub(crate) away_since_ms: f64,
     /// The version of its weights.
@@ -196,6 +198,7 @@
             .partition(|run| run.ends_at_ms > now_ms);
         self.runs = over;
         self.parts.clear();
+        self.loads = false;
         self.be_away(now_ms, for_ms);
         ended
     }
@@ -203,6 +206,7 @@
     /// Loads weights: what runs goes on, and nothing begins meanwhile.
     pub(crate) fn load(&mut self, version: u64, now_ms: f64, for_ms: f64) {
         self.version = version;
+        self.loads = true;
         self.be_away(now_ms, for_ms);
     }
 
--- a/crates/bilberry-load/src/decide/replay.rs
+++ b/crates/bilberry-load/src/decide/replay.rs
@@ -177,8 +177,8 @@
             return;
         };
         self.sends[request] += 1;
-        let is_dead = self.engines[engine].away_until_ms > now_ms
-            && !self.is_loading(engine, now_ms);
+        let is_dead =
+            self.engines[engine].away_until_ms > now_ms && !self.engines[engine].loads;
         if is_dead && self.policy != Policy::AllKnowing {
             self.tried[request].push(engine);
             if self.sends[request] < MOST_SENDS {
@@ -310,16 +310,9 @@
         }
     }
 
-    fn is_loading(&self, engine: usize, now_ms: f64) -> bool {
-        let engine = &self.engines[engine];
-        let away_ms = engine.away_until_ms - engine.away_since_ms;
-        engine.away_until_ms > now_ms && away_ms == self.load.engines.load_ms as f64
-    }
-
     fn is_known_away(&self, at: usize, now_ms: f64) -> bool {
         let engine = &self.engines[at];
-        let seen =
-            self.is_loading(at, now_ms) || now_ms - engine.away_since_ms >= DOWN_SEEN_MS;
+        let seen = engine.loads || now_ms - engine.away_since_ms >= DOWN_SEEN_MS;
         engine.away_until_ms > now_ms && seen
     }
 
