An entry that is cut off takes no new callers, though its hub confirms its keys

Entries ask the store for a sign of life where nothing else of their own was answered for a third of the keys' time; without one for half of it they are not ready, as before. Ruled out: watches of their own beside the hub's, which bring the calls back; keep-alive of an open connection, which the store answers also where it turns the host away.

--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -90,6 +90,7 @@
     pub(crate) lines: LineBudget,
     policy: ArcSwapOption<Policy>,
     policy_fresh: Mutex<Freshness>,
+    store_reached: Mutex<Freshness>,
     budgets: Mutex<HashMap<Name, SharedBudget>>,
     outages: Mutex<HashMap<Name, Outage>>,
     pub(crate) entries: Mutex<EntryCount>,
@@ -114,6 +115,7 @@
             lines: LineBudget::default(),
             policy: ArcSwapOption::empty(),
             policy_fresh: Mutex::default(),
+            store_reached: Mutex::default(),
             budgets: Mutex::default(),
             outages: Mutex::default(),
             entries: Mutex::default(),
@@ -155,6 +157,16 @@
         self.policy_fresh.lock().unwrap().holds(self.clock.now(), within_ms)
     }
 
+    /// Notes that the platform's store answered a question of this entry's own.
+    pub fn note_store_reached(&self, asked_at: UnixMs) {
+        self.store_reached.lock().unwrap().confirm_read(asked_at);
+    }
+
+    /// Reports whether the store answered this entry itself within a time.
+    pub fn has_reached_store(&self, within_ms: u64) -> bool {
+        self.store_reached.lock().unwrap().holds(self.clock.now(), within_ms)
+    }
+
     /// Reports whether a key may still be relied on.
     ///
     /// A key that was revoked while this entry can't hear of it must not open
@@ -166,8 +178,13 @@
     /// Reports whether new callers should come here.
     pub fn is_ready(&self) -> bool {
         let fresh = match self.settings.keys_good_ms {
-            // Left in good time, so that callers move before they are refused.
-            Some(good_ms) => self.policy_is_fresh(good_ms / 2),
+            // Left in good time, so that callers move before they are refused. What a
+            // hub confirms keeps keys good for those who are here already; new ones are
+            // better off at an entry that doesn't depend on one.
+            Some(good_ms) => {
+                let within_ms = good_ms / 2;
+                self.policy_is_fresh(within_ms) && self.has_reached_store(within_ms)
+            }
             None => true,
         };
         let knows_all = self.policy().is_some() && self.upstreams.is_listed();
--- a/crates/bilberryd/src/hosted.rs
+++ b/crates/bilberryd/src/hosted.rs
@@ -17,6 +17,7 @@
 use bilberry_adapter::PlatformDialect;
 use bilberry_adapter::WeightsFollower;
 use bilberry_adapter::follow;
+use bilberry_adapter::keep_reach;
 use bilberry_core::BootClock;
 use bilberry_core::BudgetTerms;
 use bilberry_gateway::Gateway;
@@ -150,7 +151,8 @@
         HostsFollower::new(gateway.clone(), settings.drain_ms, settings.heartbeat_ms);
     tokio::spawn(follow(store.clone(), gateway.clone(), clock, hosts));
     let weights = NamedWeightsFollower::new(gateway.clone(), settings.settle_ms);
-    tokio::spawn(follow(store, gateway.clone(), clock, weights));
+    tokio::spawn(follow(store.clone(), gateway.clone(), clock, weights));
+    tokio::spawn(keep_reach(store, gateway.clone()));
     tokio::spawn(follow_sidecars(gateway.clone(), settings.peers_port));
     tokio::spawn(follow_prompt_stores(gateway.clone()));
     let listener = bind("callers", callers).await?;
