--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -5,32 +5,25 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use bilberry_core::BudgetTerms;
 use bilberry_core::Clock;
-use bilberry_core::Demand;
 use bilberry_core::EntryCount;
 use bilberry_core::Freshness;
 use bilberry_core::Name;
-use bilberry_core::Offer;
 use bilberry_core::Outage;
 use bilberry_core::Readings;
 use bilberry_core::Repeat;
 use bilberry_core::SharedBudget;
 use bilberry_core::UnixMs;
-use bilberry_core::Weights;
-use bilberry_core::place;
 use bilberry_wire::CacheChange;
 use bilberry_wire::UpstreamState;
-use tokio::time::timeout;
 
 use crate::Connections;
 use crate::Dialect;
 use crate::GatewayMetrics;
 use crate::Hubs;
-use crate::Job;
 use crate::KnownWeights;
 use crate::LineBudget;
 use crate::Listed;
@@ -38,19 +31,9 @@
 use crate::Policy;
 use crate::PromptStore;
 use crate::PromptStores;
-use crate::Refusal;
-use crate::Seat;
 use crate::Upstream;
 use crate::Upstreams;
 
-/// How long a waiting request sleeps at most before it looks again.
-///
-/// Room also appears as time passes: a pause ends, a load ends unseen.
-const LOOK_AGAIN_MS: u64 = 25;
-
-/// The part of a caller's patience for which its request waits for room.
-const WAIT_PART: u64 = 3;
-
 /// The bounds and identity that an entry is started with.
 #[derive(Debug, Clone)]
 pub struct GatewaySettings {
@@ -92,7 +75,7 @@
     policy_fresh: Mutex<Freshness>,
     store_reached: Mutex<Freshness>,
     budgets: Mutex<HashMap<Name, SharedBudget>>,
-    outages: Mutex<HashMap<Name, Outage>>,
+    pub(crate) outages: Mutex<HashMap<Name, Outage>>,
     pub(crate) entries: Mutex<EntryCount>,
     stopping: AtomicBool,
 }
@@ -246,137 +229,6 @@
         outages.get(pool)?.come_back_ms(self.clock.now(), left_ms)
     }
 
-    fn note_outage(&self, pool: &Name, upstreams: &[Arc<Upstream>], now: UnixMs) {
-        let any_lives = upstreams.iter().any(|upstream| upstream.lives(now));
-        let mut outages = self.outages.lock().unwrap();
-        outages.entry(pool.clone()).or_default().note(now, any_lives);
-    }
-
-    /// Waits for an upstream with room and takes a seat there.
-    pub(crate) async fn seat(&self, job: &mut Job) -> Result<Seat, Refusal> {
-        let began = self.clock.now();
-        let patience_ms = job.deadline.ms_since(began) / WAIT_PART;
-        let until = began.plus_ms(patience_ms);
-        let seat = loop {
-            // Asked for before the look, so that no change in between is missed.
-            let changed = self.upstreams.changed.notified();
-            let looked_at = self.clock.now();
-            let mut look_again_ms = LOOK_AGAIN_MS;
-            let mut awaits_parts = false;
-            if let Some(choice) = self.choose(job) {
-                let Some(read_by) = self.awaits_until(job, &choice) else {
-                    break Ok(self.take(job, choice));
-                };
-                look_again_ms = read_by.ms_since(looked_at);
-                awaits_parts = true;
-            }
-            let now = self.clock.now();
-            let has_none = self.upstreams.is_listed()
-                && self.upstreams.of(&job.pool.name).is_empty();
-            if until.has_passed_at(now) || has_none {
-                break Err(Refusal::NoRoom);
-            }
-            if self.lacks_weights(job, until, now) {
-                break Err(Refusal::NoWeights);
-            }
-            let nap_ms = until.ms_since(now).min(look_again_ms).max(1);
-            let _ = timeout(Duration::from_millis(nap_ms), changed).await;
-            if awaits_parts {
-                job.waited_for_parts_ms += self.clock.now().ms_since(looked_at);
-            }
-        };
-        let waited_ms = self.clock.now().ms_since(began);
-        job.waited_ms += waited_ms;
-        self.metrics.wait_seconds.observe(waited_ms as f64 / 1_000.0);
-        seat
-    }
-
-    /// Reports whether all upstreams have weights that are too old, and none of them
-    /// is known to have others by `until`.
-    ///
-    /// A request that waited for them would be refused in the end. Where no upstream
-    /// is left, or none is listed yet, one may appear at any moment, with any weights.
-    fn lacks_weights(&self, job: &Job, until: UnixMs, now: UnixMs) -> bool {
-        let Some(model) = &job.call.model else { return false };
-        let mut upstreams = self.upstreams.of(&job.pool.name);
-        upstreams.retain(|upstream| !upstream.is_leaving());
-        let is_barred = |upstream: &Arc<Upstream>| {
-            let version = upstream.weights(model, now);
-            self.judge_weights(version, model, now) == Weights::Barred
-                && !upstream.may_load_by(until, now)
-        };
-        !upstreams.is_empty() && upstreams.iter().all(is_barred)
-    }
-
-    /// Judges whether an upstream with this version of a model's weights may still
-    /// serve.
-    pub(crate) fn judge_weights(
-        &self,
-        version: Option<u64>,
-        model: &str,
-        now: UnixMs,
-    ) -> Weights {
-        let lacking_ms = self.weights.lacking_ms(model, version, now);
-        Weights::lacking(lacking_ms, self.settings.weights_bound_ms)
-    }
-
-    /// Chooses an upstream with room, if there is one.
-    fn choose(&self, job: &mut Job) -> Option<Choice> {
-        let now = self.clock.now();
-        let upstreams = self.upstreams.of(&job.pool.name);
-        self.note_outage(&job.pool.name, &upstreams, now);
-        let model = job.call.model.clone().unwrap_or_default();
-        self.note_weights_seen(&job.pool.name, &model, now);
-        let needs_weights = job.call.model.is_some() && job.pool.engine.is_some();
-        let can_fetch = self.stores.any_answers();
-        let demand = job.demand(can_fetch, self.pace.token_us(&job.pool.name));
-        let mut versions = Vec::with_capacity(upstreams.len());
-        let offers: Vec<Offer> = upstreams
-            .iter()
-            .map(|upstream| {
-                let mut offer =
-                    upstream.offer(now, &self.settings.place, job.pool.engine);
-                offer.usable &= !job.has_tried(upstream);
-                let version = upstream.weights(&model, now);
-                offer.weights = self.judge_weights(version, &model, now);
-                match version {
-                    Some(version) => {
-                        offer.held_tokens = job.keys(version).held_tokens(upstream, now);
-                    }
-                    // Without a version no salt can be named, and the prompt would
-                    // be cached where every customer and every version finds it.
-                    None => offer.usable &= !needs_weights,
-                }
-                versions.push(version);
-                offer
-            })
-            .collect();
-        let at = place(&demand, &offers)?;
-        let version = versions[at].filter(|_| job.call.model.is_some());
-        let like = offers.iter().zip(&versions).filter(|(_, other)| **other == version);
-        let held_tokens = like.map(|(offer, _)| offer.held_tokens).max();
-        Some(Choice {
-            upstream: upstreams[at].clone(),
-            demand,
-            weights: version,
-            held_tokens: held_tokens.unwrap_or_default(),
-        })
-    }
-
-    /// Takes a seat where it was chosen.
-    fn take(&self, job: &mut Job, choice: Choice) -> Seat {
-        let Choice { upstream, demand, weights, .. } = choice;
-        let model = job.call.model.clone().unwrap_or_default();
-        job.weights = weights;
-        job.lacking_ms = self.weights.lacking_ms(&model, weights, self.clock.now());
-        if job.lacking_ms.is_some() {
-            self.metrics.placed_on_older_weights.inc();
-        }
-        let missing = demand.shared_tokens + demand.own_tokens;
-        let changed = self.upstreams.changed.clone();
-        Seat::take(upstream, demand.memory_tokens(), missing, changed)
-    }
-
     /// Takes over one line of the list of upstreams.
     pub fn list(&self, listed: &Listed) {
         let ended = self.upstreams.put(listed);
@@ -423,14 +275,3 @@
         }
     }
 }
-
-/// Where a request is to go.
-#[derive(Debug)]
-pub(crate) struct Choice {
-    pub(crate) upstream: Arc<Upstream>,
-    pub(crate) demand: Demand,
-    /// The weights there.
-    pub(crate) weights: Option<u64>,
-    /// The most shared tokens that an upstream with these weights holds.
-    pub(crate) held_tokens: u64,
-}
--- a/crates/bilberry-gateway/src/lib.rs
+++ b/crates/bilberry-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod metrics;
 mod pace;
 mod passing;
+mod placing;
 mod plain_answer;
 mod policy;
 mod prompt_keys;
--- a/crates/bilberry-gateway/src/readings.rs
+++ b/crates/bilberry-gateway/src/readings.rs
@@ -13,7 +13,7 @@
 use crate::Reads;
 use crate::Seat;
 use crate::Upstream;
-use crate::gateway::Choice;
+use crate::placing::Choice;
 
 /// How much longer than predicted a reading is waited for, in milliseconds.
 ///
