An entry that goes on elsewhere says what the silent host does with a new connection

Two engines went on with one stream. Its line said "out of reach", which is said of a host that stands still, of one without power and of one behind a cut alike. No change of logic.

--- a/crates/bilberry-gateway/src/connections.rs
+++ b/crates/bilberry-gateway/src/connections.rs
@@ -1,6 +1,7 @@
 //! Connections to upstreams, kept open between requests.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -157,6 +158,27 @@
     }
 }
 
+/// What a host does with a new connection.
+#[derive(Debug, Copy, Clone, PartialEq, Eq)]
+pub(crate) enum Reach {
+    /// It takes the connection, so it is there, whatever runs on it.
+    Taken,
+    /// It refuses the connection, as nothing listens there.
+    Refused,
+    /// It gives no sign within the time that a connection may take.
+    Silent,
+}
+
+/// Finds out what a host does with a new connection; the connection is closed at once.
+pub(crate) async fn reach(address: SocketAddr) -> Reach {
+    let connecting = TcpStream::connect(address);
+    match timeout(Duration::from_millis(CONNECT_MS), connecting).await {
+        Ok(Ok(_)) => Reach::Taken,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Reach::Refused,
+        Ok(Err(_)) | Err(_) => Reach::Silent,
+    }
+}
+
 async fn connect(address: SocketAddr) -> Result<Connection, SendError> {
     let not_sent = |reason: String| SendError::NotSent(reason);
     let connecting = TcpStream::connect(address);
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -20,6 +20,7 @@
 use crate::Gateway;
 use crate::Job;
 use crate::Upstream;
+use crate::connections::reach;
 use crate::forward::Answer;
 use crate::passing::Ended;
 use crate::passing::PIECES_AHEAD;
@@ -148,10 +149,14 @@
                     // sidecar is silent as well is gone or cut off.
                     match upstream.is_followed(self.clock.now()) {
                         true => continue,
-                        false => return Ended::Broken("out of reach"),
+                        false => {
+                            self.log_silence(job, &upstream, silence);
+                            return Ended::Broken("out of reach");
+                        }
                     }
                 }
                 _ = lost_and_silent(&upstream), if may_resume || may_move => {
+                    self.log_silence(job, &upstream, LOST_SILENCE);
                     return Ended::Broken("lost");
                 }
             };
@@ -174,6 +179,29 @@
         }
     }
 
+    /// Logs whether the host of a silent stream still takes connections.
+    ///
+    /// A host that stands still takes them, one without power or behind a cut does not;
+    /// nothing else tells them apart.
+    fn log_silence(&self, job: &Job, upstream: &Upstream, silence: Duration) {
+        let attempt = job.call.attempt.clone();
+        let id = upstream.id.clone();
+        let address = upstream.address;
+        let sidecar_heard = upstream.is_followed(self.clock.now());
+        tokio::spawn(async move {
+            let reach = format!("{:?}", reach(address).await);
+            log::warn!(
+                target: "stream",
+                request = attempt.as_str(),
+                upstream = id.as_str(),
+                silent_ms = silence.as_millis() as u64,
+                sidecar_heard,
+                new_connection = reach.as_str();
+                "silent, goes on elsewhere"
+            );
+        });
+    }
+
     /// Keeps the connection of a whole answer for later requests, unless its upstream
     /// has started again: what is known of the new start must not come from the old.
     pub(crate) fn keep_connection(&self, answer: Answer) {
