A run that may not be repeated goes on elsewhere only once it is over where it began

What callers saw: nothing, at first; their stream came whole, but two engines worked on one that may run once. Cause: an entry took two silences, the stream's and its engine's sidecar's, for the engine's end. Both stand on one host, and one that stands still makes both silent. Ruled out: a cut (each of 48 silent hosts took a new connection).

Now the engine itself is asked to stop the run, and another one goes on once it says so, says that there is no such run, ended the connection, started again, refuses connections or can't be reached at all. The same holds after answers that are another's or bear no signature and where a sidecar calls its engine down.

--- /dev/null
+++ b/crates/bilberry-core/tests/run_end.rs
@@ -0,0 +1,57 @@
+//! When a silent run may be taken for over.
+
+use bilberry_core::Reach;
+use bilberry_core::Reaching;
+use bilberry_core::RunEnd;
+use bilberry_core::SidecarWord;
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prelude::prop_oneof;
+use proptest::proptest;
+
+fn reaches() -> impl Strategy<Value = Vec<(Reach, SidecarWord)>> {
+    let reach = prop_oneof![Just(Reach::Taken), Just(Reach::Silent)];
+    let word = prop_oneof![
+        Just(SidecarWord::Up),
+        Just(SidecarWord::Down),
+        Just(SidecarWord::Silent)
+    ];
+    proptest::collection::vec((reach, word), 0..40)
+}
+
+proptest! {
+    // A host that stands still takes connections, and whoever stood beside it may say
+    // anything. Whatever is silent for however long, a run there is never over as long as
+    // one of any three connections in a row is taken.
+    #[test]
+    fn a_host_that_takes_connections_never_ends_a_run(reaches in reaches()) {
+        let mut reaching = Reaching::default();
+        let mut last_taken = 0;
+        for (at, (reach, word)) in reaches.into_iter().enumerate() {
+            if reach == Reach::Taken {
+                last_taken = at + 1;
+            }
+            if let Some(end) = reaching.note(reach, word) {
+                assert_eq!(end, RunEnd::OutOfReach);
+                assert!(at + 1 - last_taken >= 3);
+                assert!(word != SidecarWord::Up);
+            }
+        }
+    }
+}
+
+#[test]
+fn an_engine_that_nobody_reaches_is_out_of_reach() {
+    // The host lost its power: no connection is answered and its sidecar is silent.
+    let mut reaching = Reaching::default();
+    let ends: Vec<_> =
+        (0..3).map(|_| reaching.note(Reach::Silent, SidecarWord::Silent)).collect();
+    assert_eq!(ends, [None, None, Some(RunEnd::OutOfReach)]);
+}
+
+#[test]
+fn a_port_on_which_nothing_listens_ends_a_run_at_once() {
+    let mut reaching = Reaching::default();
+    let end = reaching.note(Reach::Refused, SidecarWord::Silent);
+    assert_eq!(end, Some(RunEnd::Refused));
+}
--- a/crates/bilberry-gateway/src/backup.rs
+++ b/crates/bilberry-gateway/src/backup.rs
@@ -2,7 +2,7 @@
 //!
 //! The load pattern: a stream that runs at most once, cut by the crash of its
 //! engine. Sent anew it might run twice. From a copy that another engine was
-//! given as the request ran, it goes on as the same run.
+//! given as the request ran, it goes on as the same run, once the first one is over.
 
 use std::sync::Arc;
 
@@ -10,14 +10,18 @@
 use bilberry_core::Repeat;
 use bilberry_core::Weights;
 use hyper::StatusCode;
+use tokio::time::timeout;
 
 use crate::CallKind;
 use crate::Dialect;
 use crate::Gateway;
 use crate::Job;
+use crate::MemoryCopy;
 use crate::Seat;
 use crate::Upstream;
 use crate::forward::Answer;
+use crate::stopping::DoubtfulRun;
+use crate::stopping::FirstRun;
 
 impl<D: Dialect, C: Clock> Gateway<D, C> {
     /// Chooses the engine that keeps a copy of the request's memory.
@@ -48,18 +52,50 @@
         best.map(|(_, peer)| peer)
     }
 
+    /// Returns the run that the engine with the copy is to go on with.
+    pub(crate) fn doubtful_run(
+        &self,
+        job: &Job,
+        upstream: &Arc<Upstream>,
+    ) -> Option<DoubtfulRun> {
+        let next = job.backup.clone()?;
+        let can_be_stopped = job.pool.engine.is_some_and(|engine| engine.stops_runs);
+        let attempt = job.call.attempt.clone();
+        Some(DoubtfulRun { attempt, upstream: upstream.clone(), next, can_be_stopped })
+    }
+
     /// Has the engine with the copy go on after the last event that was passed on.
     ///
-    /// `None` if there is no copy: that engine then runs nothing.
+    /// `None` if there is no copy, in which case that engine runs nothing, and if the
+    /// run may still go on at the first engine when the caller's time is over.
     pub(crate) async fn resume_from_backup(
         &self,
         job: &mut Job,
         last_event: Option<u64>,
+        upstream: &Arc<Upstream>,
+        first_run: FirstRun,
     ) -> Option<Answer> {
-        let Some(backup) = job.backup.take() else {
+        let Some(run) = self.doubtful_run(job, upstream) else {
             job.add_detail("no engine kept a copy");
             return None;
         };
+        let left = job.deadline.left(self.clock.now());
+        let first_run = match first_run {
+            FirstRun::Unclear => timeout(left, self.end_run(&run)).await.ok(),
+            known => Some(known),
+        };
+        let Some(first_run) = first_run else {
+            job.add_detail("its engine may still run it");
+            return None;
+        };
+        let backup = job.backup.take()?;
+        let copy = match first_run {
+            FirstRun::Moved(copy) => copy,
+            FirstRun::Over(_) | FirstRun::Unclear => {
+                let name = job.call.attempt.clone();
+                MemoryCopy { named_by: backup.address, name }
+            }
+        };
         let model = job.call.model.as_deref().unwrap_or_default();
         let now = self.clock.now();
         let version = backup.weights(model, now);
@@ -78,8 +114,8 @@
         }
         let changed = self.upstreams.changed.clone();
         let seat = Seat::take(backup, job.call.memory_tokens(), 0, changed);
-        let answer =
-            self.send_to_copy(job, seat, last_event.or(job.call.last_event)).await;
+        let last_event = last_event.or(job.call.last_event);
+        let answer = self.send_to_copy(job, seat, last_event, copy).await;
         self.metrics.count_send(match answer {
             Some(_) => "resumed_from_copy",
             None => "no_copy",
--- a/crates/bilberry-gateway/src/call.rs
+++ b/crates/bilberry-gateway/src/call.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 
 use bilberry_core::Name;
+use bytes::Bytes;
+use http_body_util::Full;
 use hyper::HeaderMap;
+use hyper::Request;
 use hyper::StatusCode;
 use thiserror::Error;
 
@@ -95,10 +98,34 @@
 /// A copy of a request's memory.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MemoryCopy {
-    /// The upstream that keeps it.
-    pub keeper: SocketAddr,
-    /// The attempt that it was made of.
+    /// The upstream that named it.
+    pub named_by: SocketAddr,
+    /// Its name there; that of the attempt where it grew as the request ran.
+    pub name: Name,
+}
+
+/// A run that is to be stopped, so that another upstream can go on with it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StopCall {
+    /// The upstream that runs it.
+    pub upstream: SocketAddr,
+    /// The attempt.
     pub attempt: Name,
+    /// The upstream that is to go on.
+    pub next: SocketAddr,
+}
+
+/// What an upstream says of a run that it is to stop.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StopReply {
+    /// It has stopped, and the next upstream holds its memory under this name.
+    Moved(Name),
+    /// It has stopped; its memory could not be handed over.
+    Stopped,
+    /// There is no such run.
+    NoSuchRun,
+    /// It does not say.
+    Unclear,
 }
 
 /// What an upstream's answer is worth.
@@ -149,6 +176,12 @@
         upstream: &str,
     ) -> Verdict;
 
+    /// Returns the call that has an upstream stop a run.
+    fn stop_call(&self, stop: &StopCall) -> Request<Full<Bytes>>;
+
+    /// Reads the answer to it.
+    fn stop_reply(&self, status: StatusCode, body: &[u8]) -> StopReply;
+
     /// Reads how loaded an upstream says it is.
     fn load(&self, headers: &HeaderMap) -> Option<ServerLoad>;
 }
--- a/crates/bilberry-gateway/src/connections.rs
+++ b/crates/bilberry-gateway/src/connections.rs
@@ -49,9 +49,30 @@
     /// No byte of the request left; it can't have run.
     #[error("not sent: {0}")]
     NotSent(String),
-    /// It was sent, or part of it; it may have run.
+    /// It was sent, or part of it; it may have run, and may still run.
     #[error("no answer: {0}")]
     Unanswered(String),
+    /// It was sent, or part of it, and the upstream closed the connection; it may have
+    /// run, and does not run any more.
+    #[error("no answer before the connection was closed: {0}")]
+    Closed(String),
+}
+
+/// Why a connection was not made.
+#[derive(Debug, Error)]
+pub(crate) enum ConnectError {
+    /// Nothing listens there.
+    #[error("the connection is refused")]
+    Refused,
+    /// There was no sign in time, or no way.
+    #[error("no connection in time: {0}")]
+    Silent(String),
+}
+
+impl From<ConnectError> for SendError {
+    fn from(error: ConnectError) -> Self {
+        Self::NotSent(error.to_string())
+    }
 }
 
 /// Connections to upstreams.
@@ -96,7 +117,7 @@
     ) -> Result<Connection, SendError> {
         match reuse.then(|| self.take_idle(address)).flatten() {
             Some(connection) => Ok(connection),
-            None => connect(address).await,
+            None => Ok(connect(address).await?),
         }
     }
 
@@ -150,47 +171,51 @@
     ) -> Result<Response<Incoming>, SendError> {
         self.sender.try_send_request(request).await.map_err(|mut failed| {
             // The library hands a request back only if none of it was written.
+            let reason = failed.error().to_string();
             match failed.take_message() {
-                Some(_) => SendError::NotSent(failed.error().to_string()),
-                None => SendError::Unanswered(failed.error().to_string()),
+                Some(_) => SendError::NotSent(reason),
+                None if is_closed_by_peer(failed.error()) => SendError::Closed(reason),
+                None => SendError::Unanswered(reason),
             }
         })
     }
 }
 
-/// What a host does with a new connection.
-#[derive(Debug, Copy, Clone, PartialEq, Eq)]
-pub(crate) enum Reach {
-    /// It takes the connection, so it is there, whatever runs on it.
-    Taken,
-    /// It refuses the connection, as nothing listens there.
-    Refused,
-    /// It gives no sign within the time that a connection may take.
-    Silent,
-}
-
-/// Finds out what a host does with a new connection; the connection is closed at once.
-pub(crate) async fn reach(address: SocketAddr) -> Reach {
-    let connecting = TcpStream::connect(address);
-    match timeout(Duration::from_millis(CONNECT_MS), connecting).await {
-        Ok(Ok(_)) => Reach::Taken,
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Reach::Refused,
-        Ok(Err(_)) | Err(_) => Reach::Silent,
+/// Reports whether an error means that the other side closed the connection, and not
+/// that it sent what is no answer or that nothing was heard of it.
+pub(crate) fn is_closed_by_peer(error: &hyper::Error) -> bool {
+    let mut cause = std::error::Error::source(error);
+    while let Some(inner) = cause {
+        if let Some(io) = inner.downcast_ref::<std::io::Error>() {
+            return matches!(
+                io.kind(),
+                ErrorKind::ConnectionReset
+                    | ErrorKind::ConnectionAborted
+                    | ErrorKind::BrokenPipe
+                    | ErrorKind::UnexpectedEof
+            );
+        }
+        cause = inner.source();
     }
+    error.is_incomplete_message()
 }
 
-async fn connect(address: SocketAddr) -> Result<Connection, SendError> {
-    let not_sent = |reason: String| SendError::NotSent(reason);
+/// Makes a new connection.
+pub(crate) async fn connect(address: SocketAddr) -> Result<Connection, ConnectError> {
+    let silent = |reason: String| ConnectError::Silent(reason);
     let connecting = TcpStream::connect(address);
     let stream = match timeout(Duration::from_millis(CONNECT_MS), connecting).await {
         Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => return Err(not_sent(error.to_string())),
-        Err(_) => return Err(not_sent("no connection in time".to_string())),
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            return Err(ConnectError::Refused);
+        }
+        Ok(Err(error)) => return Err(silent(error.to_string())),
+        Err(late) => return Err(silent(late.to_string())),
     };
     set_options(&stream);
     reset_on_close(&stream);
     let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
-    let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
+    let (sender, connection) = handshake.map_err(|error| silent(error.to_string()))?;
     let driver = tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("a connection to {address} ended: {error}");
--- a/crates/bilberry-gateway/src/dispatch.rs
+++ b/crates/bilberry-gateway/src/dispatch.rs
@@ -28,7 +28,7 @@
         job: &mut Job,
         seat: &Seat,
         last_event: Option<u64>,
-        from_copy: bool,
+        resume_from: Option<MemoryCopy>,
     ) -> Request<Full<Bytes>> {
         let now = self.clock.now();
         let is_engine = job.pool.engine.is_some();
@@ -39,10 +39,7 @@
             urgency: is_engine.then(|| job.urgency()),
             last_event,
             backup_to: job.backup.as_ref().map(|backup| backup.address),
-            resume_from: from_copy.then(|| MemoryCopy {
-                keeper: seat.upstream.address,
-                attempt: job.call.attempt.clone(),
-            }),
+            resume_from,
             ..Dispatch::default()
         };
         if let Some(weights) = job.weights.filter(|_| is_engine) {
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -4,6 +4,7 @@
 
 use bilberry_core::Clock;
 use bilberry_core::Repeat;
+use bilberry_core::RunEnd;
 use hyper::Response;
 use hyper::body::Incoming;
 use tokio::time::sleep;
@@ -14,10 +15,12 @@
 use crate::Dialect;
 use crate::Gateway;
 use crate::Job;
+use crate::MemoryCopy;
 use crate::Refusal;
 use crate::Seat;
 use crate::SendError;
 use crate::Verdict;
+use crate::stopping::FirstRun;
 
 /// How many sends that did not run are allowed beyond the route's attempts.
 ///
@@ -57,8 +60,11 @@
     Answered(Box<Answer>),
     /// It did not run there and another upstream may take it.
     NotRun(&'static str),
-    /// It may have run.
-    Unclear(&'static str),
+    /// It may have run, and may still run as far as `first_run` says.
+    Unclear {
+        reason: &'static str,
+        first_run: FirstRun,
+    },
     /// The time is over.
     Expired,
 }
@@ -88,6 +94,7 @@
     ) -> Result<Answer, Refusal> {
         loop {
             let seat = self.seat(job).await?;
+            let upstream = seat.upstream.clone();
             match self.send(job, seat).await {
                 Sent::Answered(answer) if self.wants_other_answer(job, &answer) => {
                     self.metrics.count_send("failed_there");
@@ -106,11 +113,13 @@
                     job.detail = reason.to_string();
                     self.check_another_send(job)?;
                 }
-                Sent::Unclear(reason) => {
+                Sent::Unclear { reason, first_run } => {
                     self.metrics.count_send(reason);
                     job.detail = reason.to_string();
                     job.runs += 1;
-                    if let Some(answer) = self.resume_from_backup(job, None).await {
+                    let resumed =
+                        self.resume_from_backup(job, None, &upstream, first_run).await;
+                    if let Some(answer) = resumed {
                         return Ok(answer);
                     }
                     self.check_another_run(job)?;
@@ -163,7 +172,7 @@
         job.tried.push(upstream.clone());
         job.backup = self.choose_backup(job, &upstream);
         let last_event = job.call.last_event;
-        let request = self.request(job, &seat, last_event, false);
+        let request = self.request(job, &seat, last_event, None);
         // A call that runs once gets a connection of its own. On a kept one, an
         // answer that crosses over from another call, or a close at the moment of
         // sending, would leave it unknown whether the call ran.
@@ -189,7 +198,7 @@
             }
             _ = sleep(silence(job, upstream.is_followed(now))), if may_repeat => {
                 upstream.note_failure(self.clock.now());
-                return Sent::Unclear("silent");
+                return unclear("silent");
             }
             _ = sleep(left) => return Sent::Expired,
         };
@@ -199,10 +208,14 @@
                 upstream.note_failure(self.clock.now());
                 Sent::NotRun(NOT_CONNECTED)
             }
-            Err(SendError::Unanswered(_)) => {
+            Err(error) => {
                 upstream.note_failure(self.clock.now());
                 self.connections.drop_idle(upstream.address);
-                Sent::Unclear("no_answer")
+                let first_run = match error {
+                    SendError::Closed(_) => FirstRun::Over(RunEnd::Ended),
+                    _ => FirstRun::Unclear,
+                };
+                Sent::Unclear { reason: "no_answer", first_run }
             }
         }
     }
@@ -213,10 +226,11 @@
         job: &mut Job,
         seat: Seat,
         last_event: Option<u64>,
+        copy: MemoryCopy,
     ) -> Option<Answer> {
         let upstream = seat.upstream.clone();
         job.tried.push(upstream.clone());
-        let request = self.request(job, &seat, last_event, true);
+        let request = self.request(job, &seat, last_event, Some(copy));
         let mut connection = self.connections.get(upstream.address, true).await.ok()?;
         job.sends += 1;
         let left = job.deadline.left(self.clock.now());
@@ -261,12 +275,17 @@
                 log::info!(target: "upstream", upstream = seat.upstream.id.as_str(); "replaced at its address");
                 Sent::NotRun("replaced")
             }
-            Verdict::Crossed => Sent::Unclear("crossed"),
-            Verdict::Unsigned => Sent::Unclear("unsigned"),
+            Verdict::Crossed => unclear("crossed"),
+            Verdict::Unsigned => unclear("unsigned"),
         }
     }
 }
 
+/// Returns the outcome of a send that may still run where it was sent.
+fn unclear(reason: &'static str) -> Sent {
+    Sent::Unclear { reason, first_run: FirstRun::Unclear }
+}
+
 /// The word for a send of which no byte left.
 const NOT_CONNECTED: &str = "not_connected";
 
--- a/crates/bilberry-gateway/src/policy.rs
+++ b/crates/bilberry-gateway/src/policy.rs
@@ -102,6 +102,8 @@
     /// Whether the memory of a running request can be copied to another engine as
     /// it grows, so that the other one can go on with it.
     pub keeps_backups: bool,
+    /// Whether they stop a run when asked to, and hand its memory to another engine.
+    pub stops_runs: bool,
     /// The size of one token of a cached prompt; zero if that is not told.
     pub token_bytes: u64,
 }
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -6,6 +6,7 @@
 use bilberry_core::Clock;
 use bilberry_core::EventSplitter;
 use bilberry_core::Repeat;
+use bilberry_core::RunEnd;
 use bilberry_node::BodyPiece;
 use bilberry_node::OutBody;
 use http_body_util::BodyExt;
@@ -20,10 +21,12 @@
 use crate::Gateway;
 use crate::Job;
 use crate::Upstream;
-use crate::connections::reach;
+use crate::connections::is_closed_by_peer;
 use crate::forward::Answer;
 use crate::passing::Ended;
 use crate::passing::PIECES_AHEAD;
+use crate::stopping::DoubtfulRun;
+use crate::stopping::FirstRun;
 
 /// How many times its longest pause a stream may be silent before it is resumed.
 const SILENT_PAUSES: u64 = 4;
@@ -47,6 +50,26 @@
     sleep(LOST_SILENCE).await;
 }
 
+/// How an upstream's part of a stream came to its end.
+enum Passed {
+    /// The stream is over for its caller.
+    Done(Ended),
+    /// Another upstream may go on with it.
+    Broken { reason: &'static str, first_run: FirstRun },
+}
+
+impl Passed {
+    /// The upstream may still work on it.
+    fn unclear(reason: &'static str) -> Self {
+        Self::Broken { reason, first_run: FirstRun::Unclear }
+    }
+
+    /// The upstream ended it.
+    fn ended(reason: &'static str) -> Self {
+        Self::Broken { reason, first_run: FirstRun::Over(RunEnd::Ended) }
+    }
+}
+
 impl<D: Dialect, C: Clock> Gateway<D, C> {
     /// Passes a stream on as it comes, and resumes it where that is allowed.
     pub(crate) fn relay(
@@ -82,23 +105,28 @@
         let mut splitter = EventSplitter::new();
         let mut answer = answer;
         loop {
-            let ended = self.relay_one(job, &mut answer, &mut splitter, pieces).await;
-            let reason = match ended {
-                Ended::Broken(reason) => reason,
-                Ended::Whole => {
+            let passed = self.relay_one(job, &mut answer, &mut splitter, pieces).await;
+            let (reason, first_run) = match passed {
+                Passed::Broken { reason, first_run } => (reason, first_run),
+                Passed::Done(Ended::Whole) => {
                     self.keep_connection(answer);
                     return Ended::Whole;
                 }
-                _ => return ended,
+                Passed::Done(ended) => return ended,
             };
-            answer.seat.upstream.note_failure(self.clock.now());
+            let upstream = answer.seat.upstream.clone();
+            upstream.note_failure(self.clock.now());
             job.runs += 1;
             job.detail = reason.to_string();
-            // The connection is closed before another upstream goes on, so that
-            // two never work on one request.
+            // Closed before another upstream goes on: a run that can be repeated ends
+            // there. It proves nothing, as one that stands still does not look.
             drop(answer);
             splitter.drop_partial();
-            match self.resume(job, &splitter).await {
+            let resumed = tokio::select! {
+                resumed = self.resume(job, &splitter, &upstream, first_run) => resumed,
+                _ = pieces.closed() => return Ended::CallerLeft,
+            };
+            match resumed {
                 Some(next) => answer = next,
                 None => return Ended::Broken(reason),
             }
@@ -106,9 +134,16 @@
     }
 
     /// Has another upstream continue a stream after its last whole event.
-    async fn resume(&self, job: &mut Job, splitter: &EventSplitter) -> Option<Answer> {
+    async fn resume(
+        &self,
+        job: &mut Job,
+        splitter: &EventSplitter,
+        upstream: &Arc<Upstream>,
+        first_run: FirstRun,
+    ) -> Option<Answer> {
         if job.route.kind == CallKind::OnceStream {
-            return self.resume_from_backup(job, splitter.last_id()).await;
+            let last_event = splitter.last_id();
+            return self.resume_from_backup(job, last_event, upstream, first_run).await;
         }
         if !job.may_run_after(job.runs) || !self.may_repeat(&job.pool.name, Repeat::GoOn)
         {
@@ -129,41 +164,35 @@
         answer: &mut Answer,
         splitter: &mut EventSplitter,
         pieces: &mpsc::Sender<BodyPiece>,
-    ) -> Ended {
+    ) -> Passed {
         let silence_ms =
             job.route.gap_ms.map_or(DEFAULT_SILENCE_MS, |g| g * SILENT_PAUSES);
         let silence = Duration::from_millis(silence_ms.max(job.route.target_ms * 2));
         let upstream = answer.seat.upstream.clone();
+        let doubtful_run = self.doubtful_run(job, &upstream);
         let mut begun = false;
         loop {
             let may_resume = job.may_run_after(job.runs + 1);
-            let may_move = job.backup.is_some();
             let left = job.deadline.left(self.clock.now());
             let frame = tokio::select! {
                 frame = answer.response.body_mut().frame() => frame,
-                _ = pieces.closed() => return Ended::CallerLeft,
-                _ = sleep(left) => return Ended::Expired,
-                _ = sleep(silence), if may_resume => return Ended::Broken("silent"),
-                _ = sleep(silence), if may_move => {
-                    // An engine that still works must not be overtaken; one whose
-                    // sidecar is silent as well is gone or cut off.
-                    match upstream.is_followed(self.clock.now()) {
-                        true => continue,
-                        false => {
-                            self.log_silence(job, &upstream, silence);
-                            return Ended::Broken("out of reach");
-                        }
-                    }
+                _ = pieces.closed() => return Passed::Done(Ended::CallerLeft),
+                _ = sleep(left) => return Passed::Done(Ended::Expired),
+                _ = sleep(silence), if may_resume => return Passed::unclear("silent"),
+                _ = lost_and_silent(&upstream), if may_resume => {
+                    return Passed::unclear("lost");
                 }
-                _ = lost_and_silent(&upstream), if may_resume || may_move => {
-                    self.log_silence(job, &upstream, LOST_SILENCE);
-                    return Ended::Broken("lost");
+                first_run = self.end_silent_run(doubtful_run.as_ref(), silence) => {
+                    return Passed::Broken { reason: "silent, over there", first_run };
                 }
             };
             let bytes = match frame {
-                None if splitter.is_at_boundary() => return Ended::Whole,
-                None => return Ended::Broken("ended within an event"),
-                Some(Err(_)) => return Ended::Broken("broke off"),
+                None if splitter.is_at_boundary() => return Passed::Done(Ended::Whole),
+                None => return Passed::ended("ended within an event"),
+                Some(Err(error)) if is_closed_by_peer(&error) => {
+                    return Passed::ended("broke off");
+                }
+                Some(Err(_)) => return Passed::unclear("broke off"),
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             if job.first_byte_ms.is_none() {
@@ -174,32 +203,44 @@
             }
             let Some(events) = splitter.push(&bytes) else { continue };
             if pieces.send(BodyPiece::Data(events)).await.is_err() {
-                return Ended::CallerLeft;
+                return Passed::Done(Ended::CallerLeft);
             }
         }
     }
 
-    /// Logs whether the host of a silent stream still takes connections.
+    /// Returns once a run that may not be repeated has fallen silent and is over.
     ///
-    /// A host that stands still takes them, one without power or behind a cut does not;
-    /// nothing else tells them apart.
-    fn log_silence(&self, job: &Job, upstream: &Upstream, silence: Duration) {
-        let attempt = job.call.attempt.clone();
-        let id = upstream.id.clone();
-        let address = upstream.address;
-        let sidecar_heard = upstream.is_followed(self.clock.now());
-        tokio::spawn(async move {
-            let reach = format!("{:?}", reach(address).await);
-            log::warn!(
-                target: "stream",
-                request = attempt.as_str(),
-                upstream = id.as_str(),
-                silent_ms = silence.as_millis() as u64,
-                sidecar_heard,
-                new_connection = reach.as_str();
-                "silent, goes on elsewhere"
-            );
-        });
+    /// Never if it can't be gone on with. An engine that its sidecar sees alive is slow;
+    /// one whose sidecar is silent as well, or calls it down, is doubtful and no more:
+    /// its stream is still listened to.
+    async fn end_silent_run(
+        &self,
+        run: Option<&DoubtfulRun>,
+        silence: Duration,
+    ) -> FirstRun {
+        let Some(run) = run else { return std::future::pending().await };
+        self.is_doubtful(&run.upstream, silence).await;
+        log::warn!(
+            target: "stream",
+            request = run.attempt.as_str(),
+            upstream = run.upstream.id.as_str(),
+            sidecar_heard = run.upstream.is_followed(self.clock.now());
+            "silent, to be stopped"
+        );
+        run.upstream.note_failure(self.clock.now());
+        self.end_run(run).await
+    }
+
+    async fn is_doubtful(&self, upstream: &Upstream, silence: Duration) {
+        loop {
+            tokio::select! {
+                _ = sleep(silence) => match upstream.is_followed(self.clock.now()) {
+                    true => continue,
+                    false => return,
+                },
+                _ = lost_and_silent(upstream) => return,
+            }
+        }
     }
 
     /// Keeps the connection of a whole answer for later requests, unless its upstream
--- /dev/null
+++ b/crates/bilberry-gateway/src/stopping.rs
@@ -0,0 +1,144 @@
+//! Making sure that a run is over before another engine goes on with it.
+//!
+//! The load pattern: a stream that runs at most once falls silent or breaks off. Its
+//! engine may have ended, be cut off, hang, or stand still with its host. Closing the
+//! connection ends nothing at an engine that does not look; so the engine itself is asked
+//! to stop the run, until it says so or can't be reached at all.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bilberry_core::Clock;
+use bilberry_core::Name;
+use bilberry_core::Reach;
+use bilberry_core::Reaching;
+use bilberry_core::RunEnd;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::Connection;
+use crate::Dialect;
+use crate::Gateway;
+use crate::MemoryCopy;
+use crate::StopCall;
+use crate::StopReply;
+use crate::Upstream;
+use crate::connections::ConnectError;
+use crate::connections::connect;
+
+/// How long an answer to the call that stops a run is waited for.
+///
+/// It comes once the run's memory is moved, some tens of milliseconds. An engine that
+/// stands still is asked anew after this, as its host may have gone meanwhile.
+const STOP_ANSWER: Duration = Duration::from_secs(1);
+
+/// How long to wait between two calls.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// The longest answer to such a call that is read.
+const MAX_ANSWER_BYTES: usize = 64 * 1_024;
+
+/// What is known of a run whose stream ended early.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum FirstRun {
+    /// It may go on where it is.
+    Unclear,
+    /// It is over there.
+    Over(RunEnd),
+    /// It was stopped, and the next engine holds its memory under this name.
+    Moved(MemoryCopy),
+}
+
+/// A run that another engine is to go on with.
+#[derive(Debug, Clone)]
+pub(crate) struct DoubtfulRun {
+    pub(crate) attempt: Name,
+    /// The engine that began it.
+    pub(crate) upstream: Arc<Upstream>,
+    /// The engine that keeps a copy of its memory.
+    pub(crate) next: Arc<Upstream>,
+    /// Whether engines stop runs when asked to.
+    pub(crate) can_be_stopped: bool,
+}
+
+impl<D: Dialect, C: Clock> Gateway<D, C> {
+    /// Returns once a run is over where it began, however long that takes.
+    pub(crate) async fn end_run(&self, run: &DoubtfulRun) -> FirstRun {
+        let began_at = self.clock.now();
+        let mut reaching = Reaching::default();
+        loop {
+            if let Some(first_run) = self.try_to_end(run, &mut reaching).await {
+                let took_ms = self.clock.now().ms_since(began_at);
+                log_end(run, &first_run, took_ms);
+                return first_run;
+            }
+            run.upstream.note_failure(self.clock.now());
+            sleep(PAUSE).await;
+        }
+    }
+
+    async fn try_to_end(
+        &self,
+        run: &DoubtfulRun,
+        reaching: &mut Reaching,
+    ) -> Option<FirstRun> {
+        if run.upstream.has_ended() {
+            return Some(FirstRun::Over(RunEnd::StartedAnew));
+        }
+        let connected = connect(run.upstream.address).await;
+        let reach = match &connected {
+            Ok(_) => Reach::Taken,
+            Err(ConnectError::Refused) => Reach::Refused,
+            Err(ConnectError::Silent(_)) => Reach::Silent,
+        };
+        let sidecar = run.upstream.sidecar_word(self.clock.now());
+        match (reaching.note(reach, sidecar), connected) {
+            (Some(end), _) => Some(FirstRun::Over(end)),
+            (None, Ok(connection)) if run.can_be_stopped => {
+                timeout(STOP_ANSWER, self.stop_run(run, connection)).await.ok()?
+            }
+            (None, _) => None,
+        }
+    }
+
+    /// Has an engine stop a run; `None` if it does not say what became of it.
+    async fn stop_run(
+        &self,
+        run: &DoubtfulRun,
+        mut connection: Connection,
+    ) -> Option<FirstRun> {
+        let upstream = run.upstream.address;
+        let attempt = run.attempt.clone();
+        let stop = StopCall { upstream, attempt, next: run.next.address };
+        let answer = connection.send(self.dialect.stop_call(&stop)).await.ok()?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect();
+        let body = body.await.ok()?.to_bytes();
+        match self.dialect.stop_reply(status, &body) {
+            StopReply::Moved(name) => {
+                Some(FirstRun::Moved(MemoryCopy { named_by: upstream, name }))
+            }
+            StopReply::Stopped => Some(FirstRun::Over(RunEnd::Stopped)),
+            StopReply::NoSuchRun => Some(FirstRun::Over(RunEnd::Unknown)),
+            StopReply::Unclear => None,
+        }
+    }
+}
+
+fn log_end(run: &DoubtfulRun, first_run: &FirstRun, took_ms: u64) {
+    let end = match first_run {
+        FirstRun::Unclear => return,
+        FirstRun::Over(end) => *end,
+        FirstRun::Moved(_) => RunEnd::Stopped,
+    };
+    log::info!(
+        target: "stream",
+        request = run.attempt.as_str(),
+        upstream = run.upstream.id.as_str(),
+        end = end.as_str(),
+        took_ms;
+        "over there, may go on elsewhere"
+    );
+}
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -10,6 +10,7 @@
 use bilberry_core::Incarnation;
 use bilberry_core::Name;
 use bilberry_core::Offer;
+use bilberry_core::SidecarWord;
 use bilberry_core::UnixMs;
 use bilberry_core::Weights;
 use bilberry_wire::CacheChange;
@@ -417,6 +418,15 @@
         }
     }
 
+    /// Returns what its sidecar says of it.
+    pub fn sidecar_word(&self, now: UnixMs) -> SidecarWord {
+        match self.live.lock().unwrap().fresh_feed(now) {
+            Some(state) if state.up => SidecarWord::Up,
+            Some(_) => SidecarWord::Down,
+            None => SidecarWord::Silent,
+        }
+    }
+
     /// Reports whether its sidecar spoke lately.
     pub fn is_followed(&self, now: UnixMs) -> bool {
         self.live.lock().unwrap().fresh_feed(now).is_some()
--- a/crates/bilberry-gateway/tests/incarnations.rs
+++ b/crates/bilberry-gateway/tests/incarnations.rs
@@ -22,8 +22,12 @@
 const ID: &str = "engine-0";
 const MODEL: &str = "model-a";
 const NOW: UnixMs = UnixMs(1_000_000);
-const TERMS: EngineTerms =
-    EngineTerms { memory_tokens: 1_000, keeps_backups: true, token_bytes: 0 };
+const TERMS: EngineTerms = EngineTerms {
+    memory_tokens: 1_000,
+    keeps_backups: true,
+    stops_runs: true,
+    token_bytes: 0,
+};
 
 /// Returns a line of the list, of the incarnation that was born at `born_ms`.
 fn listed(born_ms: Option<u64>, version: u64) -> Listed {
