A stop that was asked for is waited for, though the stream ends first

A run that is stopped closes its stream before its memory is moved. The entry took that end for the engine's own, let the move go and went on from an older copy; the moved one would have taken up memory until its time was over. The call is now kept while its run may still stop, and a body whose end does not show by itself is not taken for whole after it.

--- a/crates/bilberry-gateway/src/backup.rs
+++ b/crates/bilberry-gateway/src/backup.rs
@@ -5,6 +5,7 @@
 //! given as the request ran, it goes on as the same run, once the first one is over.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
 use bilberry_core::Clock;
 use bilberry_core::Repeat;
@@ -61,7 +62,13 @@
         let next = job.backup.clone()?;
         let can_be_stopped = job.pool.engine.is_some_and(|engine| engine.stops_runs);
         let attempt = job.call.attempt.clone();
-        Some(DoubtfulRun { attempt, upstream: upstream.clone(), next, can_be_stopped })
+        Some(DoubtfulRun {
+            attempt,
+            upstream: upstream.clone(),
+            next,
+            can_be_stopped,
+            asked_to_stop: AtomicBool::new(false),
+        })
     }
 
     /// Has the engine with the copy go on after the last event that was passed on.
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -1,5 +1,6 @@
 //! Passing a stream on to the caller, and resuming it where that is allowed.
 
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,12 +10,21 @@
 use bilberry_core::RunEnd;
 use bilberry_node::BodyPiece;
 use bilberry_node::OutBody;
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::Fuse;
+use futures_util::future::FusedFuture;
 use http_body_util::BodyExt;
+use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Frame;
 use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::TRANSFER_ENCODING;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::CallKind;
 use crate::Dialect;
@@ -27,6 +37,7 @@
 use crate::passing::PIECES_AHEAD;
 use crate::stopping::DoubtfulRun;
 use crate::stopping::FirstRun;
+use crate::stopping::STOP_ANSWER;
 
 /// How many times its longest pause a stream may be silent before it is resumed.
 const SILENT_PAUSES: u64 = 4;
@@ -37,6 +48,9 @@
 /// is still within the pause that most routes allow.
 const LOST_SILENCE: Duration = Duration::from_millis(200);
 
+/// The word for a stream that fell silent and whose run is over where it began.
+const SILENT: &str = "silent, over there";
+
 /// The silence after which a stream without a stated pause is resumed.
 const DEFAULT_SILENCE_MS: u64 = 1_000;
 
@@ -169,7 +183,11 @@
             job.route.gap_ms.map_or(DEFAULT_SILENCE_MS, |g| g * SILENT_PAUSES);
         let silence = Duration::from_millis(silence_ms.max(job.route.target_ms * 2));
         let upstream = answer.seat.upstream.clone();
+        let is_framed = is_framed(answer.response.headers());
         let doubtful_run = self.doubtful_run(job, &upstream);
+        let run = doubtful_run.as_ref();
+        let ending = Fuse::terminated();
+        tokio::pin!(ending);
         let mut begun = false;
         loop {
             let may_resume = job.may_run_after(job.runs + 1);
@@ -182,19 +200,31 @@
                 _ = lost_and_silent(&upstream), if may_resume => {
                     return Passed::unclear("lost");
                 }
-                first_run = self.end_silent_run(doubtful_run.as_ref(), silence) => {
-                    return Passed::Broken { reason: "silent, over there", first_run };
+                run = self.is_doubtful(run, silence), if ending.is_terminated() => {
+                    ending.set(self.end_run(run).fuse());
+                    continue;
+                }
+                first_run = &mut ending, if !ending.is_terminated() => {
+                    return Passed::Broken { reason: SILENT, first_run };
                 }
             };
+            let was_asked = run.is_some_and(DoubtfulRun::was_asked_to_stop);
             let bytes = match frame {
-                None if splitter.is_at_boundary() => return Passed::Done(Ended::Whole),
-                None => return Passed::ended("ended within an event"),
-                Some(Err(error)) if is_closed_by_peer(&error) => {
-                    return Passed::ended("broke off");
-                }
-                Some(Err(_)) => return Passed::unclear("broke off"),
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                end => {
+                    let passed = end_of_stream(end, splitter, is_framed || !was_asked);
+                    return match (passed, was_asked) {
+                        (Passed::Broken { first_run, .. }, true) => {
+                            let first_run = stopped_or(first_run, ending).await;
+                            Passed::Broken { reason: SILENT, first_run }
+                        }
+                        (passed, _) => passed,
+                    };
+                }
             };
+            if !was_asked {
+                ending.set(Fuse::terminated());
+            }
             if job.first_byte_ms.is_none() {
                 self.note_first_byte(job);
             }
@@ -208,39 +238,34 @@
         }
     }
 
-    /// Returns once a run that may not be repeated has fallen silent and is over.
+    /// Returns a run that may not be repeated once its engine is to be asked to stop it.
     ///
     /// Never if it can't be gone on with. An engine that its sidecar sees alive is slow;
     /// one whose sidecar is silent as well, or calls it down, is doubtful and no more:
     /// its stream is still listened to.
-    async fn end_silent_run(
+    async fn is_doubtful<'r>(
         &self,
-        run: Option<&DoubtfulRun>,
+        run: Option<&'r DoubtfulRun>,
         silence: Duration,
-    ) -> FirstRun {
+    ) -> &'r DoubtfulRun {
         let Some(run) = run else { return std::future::pending().await };
-        self.is_doubtful(&run.upstream, silence).await;
+        let is_followed = || run.upstream.is_followed(self.clock.now());
+        loop {
+            tokio::select! {
+                _ = sleep(silence), if is_followed() => {}
+                _ = sleep(silence) => break,
+                _ = lost_and_silent(&run.upstream) => break,
+            }
+        }
         log::warn!(
             target: "stream",
             request = run.attempt.as_str(),
             upstream = run.upstream.id.as_str(),
-            sidecar_heard = run.upstream.is_followed(self.clock.now());
+            sidecar_heard = is_followed();
             "silent, to be stopped"
         );
         run.upstream.note_failure(self.clock.now());
-        self.end_run(run).await
-    }
-
-    async fn is_doubtful(&self, upstream: &Upstream, silence: Duration) {
-        loop {
-            tokio::select! {
-                _ = sleep(silence) => match upstream.is_followed(self.clock.now()) {
-                    true => continue,
-                    false => return,
-                },
-                _ = lost_and_silent(upstream) => return,
-            }
-        }
+        run
     }
 
     /// Keeps the connection of a whole answer for later requests, unless its upstream
@@ -259,6 +284,41 @@
     }
 }
 
+/// Reports whether the end of a body shows by itself, so that it is not taken for one
+/// whose connection was closed.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
+}
+
+/// Returns how an upstream's part of a stream ended; `is_sure` if a body that ends
+/// between two events is whole.
+fn end_of_stream(
+    end: Option<Result<Frame<Bytes>, hyper::Error>>,
+    splitter: &EventSplitter,
+    is_sure: bool,
+) -> Passed {
+    match end {
+        None if !splitter.is_at_boundary() => Passed::ended("ended within an event"),
+        None if is_sure => Passed::Done(Ended::Whole),
+        None => Passed::unclear(SILENT),
+        Some(Err(error)) if is_closed_by_peer(&error) => Passed::ended("broke off"),
+        Some(_) => Passed::unclear("broke off"),
+    }
+}
+
+/// Waits for what becomes of a run that was asked to stop and whose stream has ended.
+///
+/// A run that stops closes its stream first; its memory is moved after that.
+async fn stopped_or(
+    otherwise: FirstRun,
+    ending: Pin<&mut Fuse<impl Future<Output = FirstRun>>>,
+) -> FirstRun {
+    match ending.is_terminated() {
+        true => otherwise,
+        false => timeout(STOP_ANSWER, ending).await.unwrap_or(otherwise),
+    }
+}
+
 /// Reports whether an answer is an event stream.
 pub(crate) fn is_stream(job: &Job, response: &Response<Incoming>) -> bool {
     job.route.kind.is_stream() && response.status().is_success()
--- a/crates/bilberry-gateway/src/stopping.rs
+++ b/crates/bilberry-gateway/src/stopping.rs
@@ -6,6 +6,8 @@
 //! to stop the run, until it says so or can't be reached at all.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bilberry_core::Clock;
@@ -32,7 +34,7 @@
 ///
 /// It comes once the run's memory is moved, some tens of milliseconds. An engine that
 /// stands still is asked anew after this, as its host may have gone meanwhile.
-const STOP_ANSWER: Duration = Duration::from_secs(1);
+pub(crate) const STOP_ANSWER: Duration = Duration::from_secs(1);
 
 /// How long to wait between two calls.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -52,7 +54,7 @@
 }
 
 /// A run that another engine is to go on with.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(crate) struct DoubtfulRun {
     pub(crate) attempt: Name,
     /// The engine that began it.
@@ -61,6 +63,15 @@
     pub(crate) next: Arc<Upstream>,
     /// Whether engines stop runs when asked to.
     pub(crate) can_be_stopped: bool,
+    /// Whether the engine was asked to stop it, and may do so at any time since.
+    pub(crate) asked_to_stop: AtomicBool,
+}
+
+impl DoubtfulRun {
+    /// Reports whether its engine may stop it, as it was asked to.
+    pub(crate) fn was_asked_to_stop(&self) -> bool {
+        self.asked_to_stop.load(Ordering::Relaxed)
+    }
 }
 
 impl<D: Dialect, C: Clock> Gateway<D, C> {
@@ -112,6 +123,7 @@
         let upstream = run.upstream.address;
         let attempt = run.attempt.clone();
         let stop = StopCall { upstream, attempt, next: run.next.address };
+        run.asked_to_stop.store(true, Ordering::Relaxed);
         let answer = connection.send(self.dialect.stop_call(&stop)).await.ok()?;
         let status = answer.status();
         let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect();
