An engine whose sidecar falls silent is tried with one request at a time

What callers saw: requests sent to a host that stands still after its sidecar was given up waited there until their callers left. An open connection on which nothing comes now puts the engine in doubt until it answers or its sidecar is heard.

--- a/crates/bilberry-gateway/src/feeds.rs
+++ b/crates/bilberry-gateway/src/feeds.rs
@@ -1,6 +1,7 @@
 //! Listening to the sidecars of upstreams.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -96,6 +97,9 @@
         let outcome = listen(&gateway, &id, address, &mut told).await;
         if let Some(upstream) = gateway.upstreams.get(&id) {
             upstream.forget_feed();
+            if outcome.as_ref().is_err_and(is_silence) {
+                upstream.doubt();
+            }
         }
         gateway.stores.forget_teller(&id, &[]);
         if std::mem::take(&mut told) {
@@ -107,6 +111,11 @@
     }
 }
 
+/// Reports whether a connection was given up as nothing came, rather than ended.
+fn is_silence(error: &WireError) -> bool {
+    matches!(error, WireError::Io(error) if error.kind() == ErrorKind::TimedOut)
+}
+
 async fn listen<D: Dialect, C: Clock>(
     gateway: &Gateway<D, C>,
     id: &Name,
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -211,6 +211,7 @@
             told => live.leaving |= told != live.cache_epoch,
         }
         live.seems_gone = !state.up;
+        live.doubtful = false;
         live.loads_at = state.loads_in_ms.map(|in_ms| now.plus_ms(in_ms));
         live.sent_since_feed = 0;
         live.tokens_since_feed = 0;
@@ -278,6 +279,14 @@
         self.lost.send_if_modified(|lost| std::mem::replace(lost, false));
     }
 
+    /// Notes that its sidecar fell silent while the connection stayed open.
+    ///
+    /// A host that stands still looks so, and each request sent there waits with it until
+    /// its caller leaves. One request at a time shows whether the engine still answers.
+    pub fn doubt(&self) {
+        self.live.lock().unwrap().doubtful = true;
+    }
+
     /// Takes over the load that an answer reported.
     pub fn note_load(&self, load: ServerLoad) {
         self.live.lock().unwrap().load = Some(load);
@@ -287,6 +296,7 @@
     pub fn note_answer(&self) {
         let mut live = self.live.lock().unwrap();
         live.confirmed = true;
+        live.doubtful = false;
         live.failures = 0;
         live.suspect_until = UnixMs(0);
         live.seems_gone = false;
--- a/crates/bilberry-gateway/src/upstream/live.rs
+++ b/crates/bilberry-gateway/src/upstream/live.rs
@@ -36,6 +36,10 @@
     pub(super) suspect_until: UnixMs,
     /// Whether its sidecar or the last send says that it is gone.
     pub(super) seems_gone: bool,
+    /// Whether its sidecar fell silent on an open connection, and neither was heard since.
+    pub(super) doubtful: bool,
+    /// The requests in progress that were sent there in doubt.
+    pub(super) trials: u64,
 }
 
 impl Live {
@@ -60,6 +64,8 @@
             failures: 0,
             suspect_until: UnixMs(0),
             seems_gone: false,
+            doubtful: false,
+            trials: 0,
         }
     }
 
@@ -80,6 +86,7 @@
     pub(super) fn takes_work(&self, now: UnixMs) -> bool {
         let fed = self.fresh_feed(now).is_none_or(|state| state.up && !state.loading);
         let is_free = self.confirmed || self.in_progress == 0;
+        let is_free = is_free && (!self.doubtful || self.trials == 0);
         fed && is_free && !self.leaving && self.suspect_until.has_passed_at(now)
     }
 }
--- a/crates/bilberry-gateway/src/upstream/seat.rs
+++ b/crates/bilberry-gateway/src/upstream/seat.rs
@@ -14,6 +14,7 @@
     memory_tokens: u64,
     pending_tokens: u64,
     tokens_before: u64,
+    is_trial: bool,
     freed: Arc<Notify>,
 }
 
@@ -32,8 +33,10 @@
         live.tokens_since_feed += memory_tokens;
         live.reserved_tokens += memory_tokens;
         live.pending_tokens += pending_tokens;
+        let is_trial = live.doubtful;
+        live.trials += u64::from(is_trial);
         drop(live);
-        Self { upstream, memory_tokens, pending_tokens, tokens_before, freed }
+        Self { upstream, memory_tokens, pending_tokens, tokens_before, is_trial, freed }
     }
 
     /// Returns how many tokens its upstream had to read before, as far as this entry
@@ -55,6 +58,7 @@
         let mut live = self.upstream.live.lock().unwrap();
         live.in_progress -= 1;
         live.reserved_tokens -= self.memory_tokens;
+        live.trials -= u64::from(self.is_trial);
         drop(live);
         self.freed.notify_waiters();
     }
--- a/crates/bilberry-gateway/tests/knowledge.rs
+++ b/crates/bilberry-gateway/tests/knowledge.rs
@@ -1,5 +1,7 @@
 //! What an entry learns from answers and from sidecars.
 
+use std::sync::Arc;
+
 use bilberry_core::Name;
 use bilberry_core::UnixMs;
 use bilberry_core::part_key;
@@ -8,6 +10,7 @@
 use bilberry_gateway::Pace;
 use bilberry_gateway::PromptKeys;
 use bilberry_gateway::PromptPart;
+use bilberry_gateway::Seat;
 use bilberry_gateway::Upstream;
 use bilberry_wire::CacheChange;
 use bilberry_wire::UpstreamState;
@@ -146,6 +149,34 @@
     assert!(!engine.lives(at(7_000)));
 }
 
+#[test]
+fn an_engine_in_doubt_is_tried_with_one_request_at_a_time() {
+    // Callers are served by other engines. A host stands still: its sidecar says nothing
+    // on an open connection, and each request sent to its engine waits until its caller
+    // leaves. One of them is enough to find out; an answer or a word ends the doubt.
+    let engine = Arc::new(engine());
+    let usable = |now: u64| engine.offer(at(now), "a", None).usable;
+    let seat = || Seat::take(engine.clone(), 10, 10, Arc::default());
+    engine.feed(idle(), at(0));
+    let before = seat();
+    engine.forget_feed();
+    engine.doubt();
+    assert!(usable(2_000), "what was sent before is no trial");
+    let trial = seat();
+    assert!(!usable(2_000));
+    drop(trial);
+    assert!(usable(3_000), "the trial's caller has left");
+    let _trial = seat();
+    engine.note_answer();
+    assert!(usable(4_000));
+    engine.doubt();
+    let _trial = seat();
+    assert!(!usable(5_000));
+    engine.feed(idle(), at(6_000));
+    assert!(usable(6_000));
+    drop(before);
+}
+
 #[test]
 fn an_entry_remembers_no_parts_for_ever() {
     // An entry runs for weeks beside an engine whose events are lost now and then, and
