--- a/crates/bilberry-core/tests/run_end.rs
+++ b/crates/bilberry-core/tests/run_end.rs
@@ -55,3 +55,11 @@
     let end = reaching.note(Reach::Refused, SidecarWord::Silent);
     assert_eq!(end, Some(RunEnd::Refused));
 }
+
+#[test]
+fn a_refusal_beside_a_sidecar_that_hears_its_engine_ends_no_run() {
+    // Something on the way refuses connections, or the engine takes no new ones as it
+    // leaves, and works on. Its sidecar hears it, so it is there.
+    let mut reaching = Reaching::default();
+    assert_eq!(reaching.note(Reach::Refused, SidecarWord::Up), None);
+}
