A connection that was closed does not end a run; its engine is asked in each case

Who closed a connection can't be told. Now the engine is asked after each break; while the stream's own connection is open its host is there, whatever becomes of new ones; keepalive ends that connection at a host that acknowledges nothing.

--- a/crates/bilberry-core/src/run_end.rs
+++ b/crates/bilberry-core/src/run_end.rs
@@ -2,7 +2,8 @@
 //!
 //! The load pattern: a host stands still for seconds and goes on where it was, its engine
 //! and its sidecar alike. Silence of any length, from however many of them, proves
-//! nothing; taken for the engine's end, two engines work on what may run once.
+//! nothing, and neither does a connection that was closed, by whom can't be told. Taken
+//! for the engine's end, two engines work on what may run once.
 
 /// How many new connections in a row get no sign before a host is out of reach.
 ///
@@ -34,8 +35,6 @@
 /// Why a run is taken to be over where it was.
 #[derive(Debug, Copy, Clone, PartialEq, Eq, Hash)]
 pub enum RunEnd {
-    /// Its engine ended the stream or its connection.
-    Ended,
     /// Its engine stopped it when asked to.
     Stopped,
     /// Its engine says that there is no such run.
@@ -52,7 +51,6 @@
     /// Returns the word for logs.
     pub fn as_str(self) -> &'static str {
         match self {
-            Self::Ended => "ended",
             Self::Stopped => "stopped",
             Self::Unknown => "no such run",
             Self::StartedAnew => "started again",
@@ -71,14 +69,21 @@
 impl Reaching {
     /// Takes in one more; returns the end that it proves, if any.
     ///
-    /// A sidecar that hears its engine shows that the host is there, whatever becomes of
-    /// new connections to it.
-    pub fn note(&mut self, reach: Reach, sidecar: SidecarWord) -> Option<RunEnd> {
+    /// While the stream's own connection is open its host acknowledges what it is sent,
+    /// so it is there: new connections may be refused or wait in a full queue. A sidecar
+    /// that hears its engine shows the same.
+    pub fn note(
+        &mut self,
+        reach: Reach,
+        sidecar: SidecarWord,
+        stream_is_open: bool,
+    ) -> Option<RunEnd> {
         self.silent_in_a_row = match reach {
             Reach::Silent => self.silent_in_a_row + 1,
             Reach::Taken | Reach::Refused => 0,
         };
         match reach {
+            _ if stream_is_open => None,
             Reach::Refused => Some(RunEnd::Refused),
             Reach::Silent
                 if self.silent_in_a_row >= SILENT_CONNECTIONS
--- a/crates/bilberry-core/tests/run_end.rs
+++ b/crates/bilberry-core/tests/run_end.rs
@@ -31,7 +31,7 @@
             if reach == Reach::Taken {
                 last_taken = at + 1;
             }
-            if let Some(end) = reaching.note(reach, word) {
+            if let Some(end) = reaching.note(reach, word, false) {
                 assert_eq!(end, RunEnd::OutOfReach);
                 assert!(at + 1 - last_taken >= 3);
                 assert!(word != SidecarWord::Up);
@@ -42,24 +42,40 @@
 
 #[test]
 fn an_engine_that_nobody_reaches_is_out_of_reach() {
-    // The host lost its power: no connection is answered and its sidecar is silent.
+    // The host lost its power: the stream's connection was given up as nothing was
+    // acknowledged, no new one is answered and its sidecar is silent.
     let mut reaching = Reaching::default();
-    let ends: Vec<_> =
-        (0..3).map(|_| reaching.note(Reach::Silent, SidecarWord::Silent)).collect();
+    let ends: Vec<_> = (0..3)
+        .map(|_| reaching.note(Reach::Silent, SidecarWord::Silent, false))
+        .collect();
     assert_eq!(ends, [None, None, Some(RunEnd::OutOfReach)]);
 }
 
 #[test]
 fn a_port_on_which_nothing_listens_ends_a_run_at_once() {
     let mut reaching = Reaching::default();
-    let end = reaching.note(Reach::Refused, SidecarWord::Silent);
+    let end = reaching.note(Reach::Refused, SidecarWord::Silent, false);
     assert_eq!(end, Some(RunEnd::Refused));
 }
 
 #[test]
-fn a_refusal_beside_a_sidecar_that_hears_its_engine_ends_no_run() {
-    // Something on the way refuses connections, or the engine takes no new ones as it
-    // leaves, and works on. Its sidecar hears it, so it is there.
+fn no_new_connection_ends_a_run_whose_stream_is_open() {
+    // Something on the way refuses connections, the engine takes no new ones as it
+    // leaves, or its queue of them is full, and it works on. The stream's connection is
+    // open, so its host is there, whatever is heard of the sidecar.
     let mut reaching = Reaching::default();
-    assert_eq!(reaching.note(Reach::Refused, SidecarWord::Up), None);
+    for word in [SidecarWord::Up, SidecarWord::Down, SidecarWord::Silent] {
+        assert_eq!(reaching.note(Reach::Refused, word, true), None);
+        let silent = (0..9).filter_map(|_| reaching.note(Reach::Silent, word, true));
+        assert_eq!(silent.count(), 0);
+    }
+}
+
+#[test]
+fn an_engine_that_its_sidecar_hears_is_not_out_of_reach() {
+    // The connection was lost between entry and engine, and new ones get no sign either.
+    let mut reaching = Reaching::default();
+    let ends =
+        (0..9).filter_map(|_| reaching.note(Reach::Silent, SidecarWord::Up, false));
+    assert_eq!(ends.count(), 0);
 }
--- a/crates/bilberry-gateway/src/backup.rs
+++ b/crates/bilberry-gateway/src/backup.rs
@@ -67,6 +67,7 @@
             upstream: upstream.clone(),
             next,
             can_be_stopped,
+            stream_is_open: AtomicBool::new(true),
             asked_to_stop: AtomicBool::new(false),
         })
     }
@@ -80,16 +81,17 @@
         job: &mut Job,
         last_event: Option<u64>,
         upstream: &Arc<Upstream>,
-        first_run: FirstRun,
+        first_run: Option<FirstRun>,
     ) -> Option<Answer> {
         let Some(run) = self.doubtful_run(job, upstream) else {
             job.add_detail("no engine kept a copy");
             return None;
         };
+        run.note_stream_closed();
         let left = job.deadline.left(self.clock.now());
         let first_run = match first_run {
-            FirstRun::Unclear => timeout(left, self.end_run(&run)).await.ok(),
-            known => Some(known),
+            None => timeout(left, self.end_run(&run)).await.ok(),
+            known => known,
         };
         let Some(first_run) = first_run else {
             job.add_detail("its engine may still run it");
@@ -98,7 +100,7 @@
         let backup = job.backup.take()?;
         let copy = match first_run {
             FirstRun::Moved(copy) => copy,
-            FirstRun::Over(_) | FirstRun::Unclear => {
+            FirstRun::Over(_) => {
                 let name = job.call.attempt.clone();
                 MemoryCopy { named_by: backup.address, name }
             }
--- a/crates/bilberry-gateway/src/connections.rs
+++ b/crates/bilberry-gateway/src/connections.rs
@@ -18,6 +18,7 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use socket2::TcpKeepalive;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
@@ -35,6 +36,11 @@
 /// to it would hang until their callers leave.
 const UNACKNOWLEDGED_MS: u64 = 1_500;
 
+/// After which silence, and how often, a host is asked whether a connection is there.
+///
+/// The shortest that systems allow.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
 /// How long an idle connection is kept if the upstream names no time.
 const DEFAULT_IDLE_MS: u64 = 4_000;
 
@@ -52,10 +58,6 @@
     /// It was sent, or part of it; it may have run, and may still run.
     #[error("no answer: {0}")]
     Unanswered(String),
-    /// It was sent, or part of it, and the upstream closed the connection; it may have
-    /// run, and does not run any more.
-    #[error("no answer before the connection was closed: {0}")]
-    Closed(String),
 }
 
 /// Why a connection was not made.
@@ -174,32 +176,12 @@
             let reason = failed.error().to_string();
             match failed.take_message() {
                 Some(_) => SendError::NotSent(reason),
-                None if is_closed_by_peer(failed.error()) => SendError::Closed(reason),
                 None => SendError::Unanswered(reason),
             }
         })
     }
 }
 
-/// Reports whether an error means that the other side closed the connection, and not
-/// that it sent what is no answer or that nothing was heard of it.
-pub(crate) fn is_closed_by_peer(error: &hyper::Error) -> bool {
-    let mut cause = std::error::Error::source(error);
-    while let Some(inner) = cause {
-        if let Some(io) = inner.downcast_ref::<std::io::Error>() {
-            return matches!(
-                io.kind(),
-                ErrorKind::ConnectionReset
-                    | ErrorKind::ConnectionAborted
-                    | ErrorKind::BrokenPipe
-                    | ErrorKind::UnexpectedEof
-            );
-        }
-        cause = inner.source();
-    }
-    error.is_incomplete_message()
-}
-
 /// Makes a new connection.
 pub(crate) async fn connect(address: SocketAddr) -> Result<Connection, ConnectError> {
     let silent = |reason: String| ConnectError::Silent(reason);
@@ -213,6 +195,7 @@
         Err(late) => return Err(silent(late.to_string())),
     };
     set_options(&stream);
+    keep_alive(&stream);
     reset_on_close(&stream);
     let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|error| silent(error.to_string()))?;
@@ -224,6 +207,17 @@
     Ok(Connection { address, sender, driver })
 }
 
+/// Has a connection end on which a host acknowledges nothing though nothing is sent.
+///
+/// A stream that waits for its engine sends nothing, so it would stay open for ever at a
+/// host without power, and could not be told from one at a host that stands still.
+fn keep_alive(stream: &TcpStream) {
+    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE).with_interval(KEEPALIVE);
+    if let Err(error) = SockRef::from(stream).set_tcp_keepalive(&keepalive) {
+        log::warn!("no keepalive to an upstream, a lost host shows late: {error}");
+    }
+}
+
 /// Has a close discard what has not arrived yet.
 ///
 /// Closed in the usual way, a connection to a host that is cut off still delivers
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -4,7 +4,6 @@
 
 use bilberry_core::Clock;
 use bilberry_core::Repeat;
-use bilberry_core::RunEnd;
 use hyper::Response;
 use hyper::body::Incoming;
 use tokio::time::sleep;
@@ -20,7 +19,6 @@
 use crate::Seat;
 use crate::SendError;
 use crate::Verdict;
-use crate::stopping::FirstRun;
 
 /// How many sends that did not run are allowed beyond the route's attempts.
 ///
@@ -60,11 +58,8 @@
     Answered(Box<Answer>),
     /// It did not run there and another upstream may take it.
     NotRun(&'static str),
-    /// It may have run, and may still run as far as `first_run` says.
-    Unclear {
-        reason: &'static str,
-        first_run: FirstRun,
-    },
+    /// It may have run, and may still run.
+    Unclear(&'static str),
     /// The time is over.
     Expired,
 }
@@ -113,13 +108,12 @@
                     job.detail = reason.to_string();
                     self.check_another_send(job)?;
                 }
-                Sent::Unclear { reason, first_run } => {
+                Sent::Unclear(reason) => {
                     self.metrics.count_send(reason);
                     job.detail = reason.to_string();
                     job.runs += 1;
-                    let resumed =
-                        self.resume_from_backup(job, None, &upstream, first_run).await;
-                    if let Some(answer) = resumed {
+                    let resumed = self.resume_from_backup(job, None, &upstream, None);
+                    if let Some(answer) = resumed.await {
                         return Ok(answer);
                     }
                     self.check_another_run(job)?;
@@ -198,7 +192,7 @@
             }
             _ = sleep(silence(job, upstream.is_followed(now))), if may_repeat => {
                 upstream.note_failure(self.clock.now());
-                return unclear("silent");
+                return Sent::Unclear("silent");
             }
             _ = sleep(left) => return Sent::Expired,
         };
@@ -208,14 +202,10 @@
                 upstream.note_failure(self.clock.now());
                 Sent::NotRun(NOT_CONNECTED)
             }
-            Err(error) => {
+            Err(SendError::Unanswered(_)) => {
                 upstream.note_failure(self.clock.now());
                 self.connections.drop_idle(upstream.address);
-                let first_run = match error {
-                    SendError::Closed(_) => FirstRun::Over(RunEnd::Ended),
-                    _ => FirstRun::Unclear,
-                };
-                Sent::Unclear { reason: "no_answer", first_run }
+                Sent::Unclear("no_answer")
             }
         }
     }
@@ -275,17 +265,12 @@
                 log::info!(target: "upstream", upstream = seat.upstream.id.as_str(); "replaced at its address");
                 Sent::NotRun("replaced")
             }
-            Verdict::Crossed => unclear("crossed"),
-            Verdict::Unsigned => unclear("unsigned"),
+            Verdict::Crossed => Sent::Unclear("crossed"),
+            Verdict::Unsigned => Sent::Unclear("unsigned"),
         }
     }
 }
 
-/// Returns the outcome of a send that may still run where it was sent.
-fn unclear(reason: &'static str) -> Sent {
-    Sent::Unclear { reason, first_run: FirstRun::Unclear }
-}
-
 /// The word for a send of which no byte left.
 const NOT_CONNECTED: &str = "not_connected";
 
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -7,7 +7,6 @@
 use bilberry_core::Clock;
 use bilberry_core::EventSplitter;
 use bilberry_core::Repeat;
-use bilberry_core::RunEnd;
 use bilberry_node::BodyPiece;
 use bilberry_node::OutBody;
 use bytes::Bytes;
@@ -31,7 +30,6 @@
 use crate::Gateway;
 use crate::Job;
 use crate::Upstream;
-use crate::connections::is_closed_by_peer;
 use crate::forward::Answer;
 use crate::passing::Ended;
 use crate::passing::PIECES_AHEAD;
@@ -69,18 +67,15 @@
     /// The stream is over for its caller.
     Done(Ended),
     /// Another upstream may go on with it.
-    Broken { reason: &'static str, first_run: FirstRun },
+    ///
+    /// Where it may be run once, `first_run` says how the run ended, if that is known.
+    Broken { reason: &'static str, first_run: Option<FirstRun> },
 }
 
 impl Passed {
     /// The upstream may still work on it.
     fn unclear(reason: &'static str) -> Self {
-        Self::Broken { reason, first_run: FirstRun::Unclear }
-    }
-
-    /// The upstream ended it.
-    fn ended(reason: &'static str) -> Self {
-        Self::Broken { reason, first_run: FirstRun::Over(RunEnd::Ended) }
+        Self::Broken { reason, first_run: None }
     }
 }
 
@@ -153,7 +148,7 @@
         job: &mut Job,
         splitter: &EventSplitter,
         upstream: &Arc<Upstream>,
-        first_run: FirstRun,
+        first_run: Option<FirstRun>,
     ) -> Option<Answer> {
         if job.route.kind == CallKind::OnceStream {
             let last_event = splitter.last_id();
@@ -205,6 +200,7 @@
                     continue;
                 }
                 first_run = &mut ending, if !ending.is_terminated() => {
+                    let first_run = Some(first_run);
                     return Passed::Broken { reason: SILENT, first_run };
                 }
             };
@@ -213,10 +209,11 @@
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 end => {
                     let passed = end_of_stream(end, splitter, is_framed || !was_asked);
-                    return match (passed, was_asked) {
-                        (Passed::Broken { first_run, .. }, true) => {
-                            let first_run = stopped_or(first_run, ending).await;
-                            Passed::Broken { reason: SILENT, first_run }
+                    return match (passed, ending.is_terminated()) {
+                        (Passed::Broken { reason, .. }, false) => {
+                            run.inspect(|run| run.note_stream_closed());
+                            let first_run = stopped(ending).await;
+                            Passed::Broken { reason, first_run }
                         }
                         (passed, _) => passed,
                     };
@@ -298,10 +295,9 @@
     is_sure: bool,
 ) -> Passed {
     match end {
-        None if !splitter.is_at_boundary() => Passed::ended("ended within an event"),
+        None if !splitter.is_at_boundary() => Passed::unclear("ended within an event"),
         None if is_sure => Passed::Done(Ended::Whole),
-        None => Passed::unclear(SILENT),
-        Some(Err(error)) if is_closed_by_peer(&error) => Passed::ended("broke off"),
+        None => Passed::unclear("ended as it was to be stopped"),
         Some(_) => Passed::unclear("broke off"),
     }
 }
@@ -309,14 +305,10 @@
 /// Waits for what becomes of a run that was asked to stop and whose stream has ended.
 ///
 /// A run that stops closes its stream first; its memory is moved after that.
-async fn stopped_or(
-    otherwise: FirstRun,
+async fn stopped(
     ending: Pin<&mut Fuse<impl Future<Output = FirstRun>>>,
-) -> FirstRun {
-    match ending.is_terminated() {
-        true => otherwise,
-        false => timeout(STOP_ANSWER, ending).await.unwrap_or(otherwise),
-    }
+) -> Option<FirstRun> {
+    timeout(STOP_ANSWER, ending).await.ok()
 }
 
 /// Reports whether an answer is an event stream.
--- a/crates/bilberry-gateway/src/stopping.rs
+++ b/crates/bilberry-gateway/src/stopping.rs
@@ -1,9 +1,9 @@
 //! Making sure that a run is over before another engine goes on with it.
 //!
 //! The load pattern: a stream that runs at most once falls silent or breaks off. Its
-//! engine may have ended, be cut off, hang, or stand still with its host. Closing the
-//! connection ends nothing at an engine that does not look; so the engine itself is asked
-//! to stop the run, until it says so or can't be reached at all.
+//! engine may have ended, be cut off, hang, or stand still with its host, and who closed a
+//! connection can't be told. Closing it ends nothing at an engine that does not look; so
+//! the engine itself is asked to stop the run, until it says so or can't be reached at all.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -32,8 +32,9 @@
 
 /// How long an answer to the call that stops a run is waited for.
 ///
-/// It comes once the run's memory is moved, some tens of milliseconds. An engine that
-/// stands still is asked anew after this, as its host may have gone meanwhile.
+/// It comes once the run's memory is moved, some tens of milliseconds. Twice as long is
+/// waited after each call that was in vain, so that those to an engine that stands still
+/// do not fill its queue of connections.
 pub(crate) const STOP_ANSWER: Duration = Duration::from_secs(1);
 
 /// How long to wait between two calls.
@@ -42,11 +43,9 @@
 /// The longest answer to such a call that is read.
 const MAX_ANSWER_BYTES: usize = 64 * 1_024;
 
-/// What is known of a run whose stream ended early.
+/// How a run came to its end where it began.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum FirstRun {
-    /// It may go on where it is.
-    Unclear,
     /// It is over there.
     Over(RunEnd),
     /// It was stopped, and the next engine holds its memory under this name.
@@ -63,6 +62,8 @@
     pub(crate) next: Arc<Upstream>,
     /// Whether engines stop runs when asked to.
     pub(crate) can_be_stopped: bool,
+    /// Whether the connection of its stream is open.
+    pub(crate) stream_is_open: AtomicBool,
     /// Whether the engine was asked to stop it, and may do so at any time since.
     pub(crate) asked_to_stop: AtomicBool,
 }
@@ -72,6 +73,11 @@
     pub(crate) fn was_asked_to_stop(&self) -> bool {
         self.asked_to_stop.load(Ordering::Relaxed)
     }
+
+    /// Notes that the connection of its stream is closed, by whomever.
+    pub(crate) fn note_stream_closed(&self) {
+        self.stream_is_open.store(false, Ordering::Relaxed);
+    }
 }
 
 impl<D: Dialect, C: Clock> Gateway<D, C> {
@@ -79,13 +85,18 @@
     pub(crate) async fn end_run(&self, run: &DoubtfulRun) -> FirstRun {
         let began_at = self.clock.now();
         let mut reaching = Reaching::default();
+        let mut answer_within = STOP_ANSWER;
         loop {
-            if let Some(first_run) = self.try_to_end(run, &mut reaching).await {
+            let ended = self.try_to_end(run, &mut reaching, answer_within).await;
+            if let Some(first_run) = ended {
                 let took_ms = self.clock.now().ms_since(began_at);
                 log_end(run, &first_run, took_ms);
                 return first_run;
             }
             run.upstream.note_failure(self.clock.now());
+            if run.was_asked_to_stop() {
+                answer_within *= 2;
+            }
             sleep(PAUSE).await;
         }
     }
@@ -94,6 +105,7 @@
         &self,
         run: &DoubtfulRun,
         reaching: &mut Reaching,
+        answer_within: Duration,
     ) -> Option<FirstRun> {
         if run.upstream.has_ended() {
             return Some(FirstRun::Over(RunEnd::StartedAnew));
@@ -105,10 +117,11 @@
             Err(ConnectError::Silent(_)) => Reach::Silent,
         };
         let sidecar = run.upstream.sidecar_word(self.clock.now());
-        match (reaching.note(reach, sidecar), connected) {
+        let stream_is_open = run.stream_is_open.load(Ordering::Relaxed);
+        match (reaching.note(reach, sidecar, stream_is_open), connected) {
             (Some(end), _) => Some(FirstRun::Over(end)),
             (None, Ok(connection)) if run.can_be_stopped => {
-                timeout(STOP_ANSWER, self.stop_run(run, connection)).await.ok()?
+                timeout(answer_within, self.stop_run(run, connection)).await.ok()?
             }
             (None, _) => None,
         }
@@ -141,7 +154,6 @@
 
 fn log_end(run: &DoubtfulRun, first_run: &FirstRun, took_ms: u64) {
     let end = match first_run {
-        FirstRun::Unclear => return,
         FirstRun::Over(end) => *end,
         FirstRun::Moved(_) => RunEnd::Stopped,
     };
