A run of which nothing came is not sent to the engine that may have a copy

What callers saw: one request ran at two engines where answers were lost before their first byte. The engine with the copy was relied on to refuse where it has none; one that hangs or loses its answers looks for none. Now a run goes on elsewhere only after an event was passed on or its engine moved its memory. Local errors of a new connection no longer count as a host that gives no sign.

--- a/crates/bilberry-gateway/src/backup.rs
+++ b/crates/bilberry-gateway/src/backup.rs
@@ -74,8 +74,8 @@
 
     /// Has the engine with the copy go on after the last event that was passed on.
     ///
-    /// `None` if there is no copy, in which case that engine runs nothing, and if the
-    /// run may still go on at the first engine when the caller's time is over.
+    /// `None` if there is no copy, and if the run may still go on at the first engine when
+    /// the caller's time is over.
     pub(crate) async fn resume_from_backup(
         &self,
         job: &mut Job,
@@ -100,6 +100,12 @@
         let backup = job.backup.take()?;
         let copy = match first_run {
             FirstRun::Moved(copy) => copy,
+            // Its memory may never have been copied; an engine that hangs looks for no
+            // copy and runs what reaches it, from the beginning.
+            FirstRun::Over(_) if last_event.is_none() => {
+                job.add_detail("nothing had come of it");
+                return None;
+            }
             FirstRun::Over(_) => {
                 let name = job.call.attempt.clone();
                 MemoryCopy { named_by: backup.address, name }
--- a/crates/bilberry-gateway/src/connections.rs
+++ b/crates/bilberry-gateway/src/connections.rs
@@ -69,6 +69,9 @@
     /// There was no sign in time, or no way.
     #[error("no connection in time: {0}")]
     Silent(String),
+    /// It failed for another reason, which says nothing of the other side.
+    #[error("no connection: {0}")]
+    Failed(String),
 }
 
 impl From<ConnectError> for SendError {
@@ -184,21 +187,18 @@
 
 /// Makes a new connection.
 pub(crate) async fn connect(address: SocketAddr) -> Result<Connection, ConnectError> {
-    let silent = |reason: String| ConnectError::Silent(reason);
     let connecting = TcpStream::connect(address);
     let stream = match timeout(Duration::from_millis(CONNECT_MS), connecting).await {
         Ok(Ok(stream)) => stream,
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-            return Err(ConnectError::Refused);
-        }
-        Ok(Err(error)) => return Err(silent(error.to_string())),
-        Err(late) => return Err(silent(late.to_string())),
+        Ok(Err(error)) => return Err(connect_error(&error)),
+        Err(late) => return Err(ConnectError::Silent(late.to_string())),
     };
     set_options(&stream);
     keep_alive(&stream);
     reset_on_close(&stream);
     let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
-    let (sender, connection) = handshake.map_err(|error| silent(error.to_string()))?;
+    let failed = |error: hyper::Error| ConnectError::Failed(error.to_string());
+    let (sender, connection) = handshake.map_err(failed)?;
     let driver = tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("a connection to {address} ended: {error}");
@@ -207,6 +207,16 @@
     Ok(Connection { address, sender, driver })
 }
 
+fn connect_error(error: &std::io::Error) -> ConnectError {
+    match error.kind() {
+        ErrorKind::ConnectionRefused => ConnectError::Refused,
+        ErrorKind::TimedOut
+        | ErrorKind::HostUnreachable
+        | ErrorKind::NetworkUnreachable => ConnectError::Silent(error.to_string()),
+        _ => ConnectError::Failed(error.to_string()),
+    }
+}
+
 /// Has a connection end on which a host acknowledges nothing though nothing is sent.
 ///
 /// A stream that waits for its engine sends nothing, so it would stay open for ever at a
--- a/crates/bilberry-gateway/src/stopping.rs
+++ b/crates/bilberry-gateway/src/stopping.rs
@@ -115,6 +115,7 @@
             Ok(_) => Reach::Taken,
             Err(ConnectError::Refused) => Reach::Refused,
             Err(ConnectError::Silent(_)) => Reach::Silent,
+            Err(ConnectError::Failed(_)) => return None,
         };
         let sidecar = run.upstream.sidecar_word(self.clock.now());
         let stream_is_open = run.stream_is_open.load(Ordering::Relaxed);
