--- a/crates/bilberry-config/src/head.rs
+++ b/crates/bilberry-config/src/head.rs
@@ -89,10 +89,19 @@
         kept.cloned().collect()
     }
 
-    /// Returns the next head.
-    pub fn next(&self, mut pieces: Vec<PieceRef>, mut revised: Revised) -> Self {
+    /// Returns the next head, whose revision is above `in_force` too.
+    ///
+    /// Processes take only a higher revision than they have. A platform that came back
+    /// from an older copy has a lower one, and a change that was given the next would
+    /// be in force nowhere.
+    pub fn next(
+        &self,
+        in_force: u64,
+        mut pieces: Vec<PieceRef>,
+        mut revised: Revised,
+    ) -> Self {
         pieces.sort_by(|a, b| (&a.file, &a.owner).cmp(&(&b.file, &b.owner)));
-        let revision = self.revision + 1;
+        let revision = self.revision.max(in_force) + 1;
         revised.revision = revision;
         let mut history = self.history.clone();
         history.push(revised);
--- a/crates/bilberry-entry/src/admin_config.rs
+++ b/crates/bilberry-entry/src/admin_config.rs
@@ -67,15 +67,19 @@
         folder: Folder,
     ) -> Result<ConfigStatus, ApiError> {
         let checked = self.check_config(author, folder).await?;
-        if checked.changes.is_empty() {
+        let in_force = self.node.config.revision();
+        // What is stored may be behind what every process has; then it is to be in
+        // force again.
+        if checked.changes.is_empty() && checked.head.revision >= in_force {
             let revision = checked.head.revision;
             return Ok(ConfigStatus { revision, changes: Vec::new() });
         }
         // Pieces are stored first: a head never names a piece that is not there.
-        // Those in force stand there already.
-        let in_force = self.node.config.in_force();
+        // Those that the stored head names stand there already; one that is in force
+        // need not, if the platform lost it.
         for file in &checked.files {
-            if !in_force.pieces.contains_key(&hash_text(&file.text)) {
+            let hash = hash_text(&file.text);
+            if checked.head.pieces.iter().all(|piece| piece.hash != hash) {
                 self.store_piece(file).await.map_err(platform_error)?;
             }
         }
@@ -87,7 +91,7 @@
             at: SystemClock.now(),
             changes: checked.changes.clone(),
         };
-        let head = checked.head.next(checked.refs, revised);
+        let head = checked.head.next(in_force, checked.refs, revised);
         let text = serde_json::to_string(&head).expect("our own types serialise");
         let is_ours = |found: &str| found.contains(&token);
         let expected = checked.head_version;
--- a/crates/bilberry-standins/src/platform.rs
+++ b/crates/bilberry-standins/src/platform.rs
@@ -58,6 +58,7 @@
     pub faults: PlatformFaults,
     pub counters: PlatformCounters,
     pub hosts: Vec<(Instant, Vec<HostEntry>)>,
+    pub copy: (BTreeMap<String, Object>, u64),
 }
 
 impl PlatformStandin {
@@ -76,6 +77,21 @@
         self.store.lock().unwrap().faults = faults;
     }
 
+    /// Keeps a copy of its objects.
+    pub(crate) fn keep_copy(&self) {
+        let mut store = self.store.lock().unwrap();
+        store.copy = (store.objects.clone(), store.position);
+    }
+
+    /// Comes back from the copy that it kept: what was written since is gone, and
+    /// positions are given out again.
+    pub(crate) fn come_back(&self) {
+        let mut store = self.store.lock().unwrap();
+        (store.objects, store.position) = store.copy.clone();
+        drop(store);
+        self.changed.send_modify(|_| {});
+    }
+
     /// Writes an object on condition; the error is the present version.
     pub(crate) fn write(
         &self,
--- a/crates/bilberry-standins/src/platform_http.rs
+++ b/crates/bilberry-standins/src/platform_http.rs
@@ -80,6 +80,14 @@
                 self.store.lock().unwrap().hosts.push((from, order.hosts));
                 ok(&true)
             }
+            "/standin/copy" => {
+                self.keep_copy();
+                ok(&true)
+            }
+            "/standin/return" => {
+                self.come_back();
+                ok(&true)
+            }
             "/standin/counters" => ok(&self.counters()),
             _ => status(StatusCode::NOT_FOUND, "no such path"),
         }
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -119,6 +119,21 @@
         send("PUT", &url, &[], body).await.expect("a stand-in answers");
     }
 
+    /// Has the platform keep a copy of its objects.
+    pub async fn copy_platform(&self) {
+        self.set_standin("copy").await;
+    }
+
+    /// Has the platform come back from the copy that it kept.
+    pub async fn return_platform(&self) {
+        self.set_standin("return").await;
+    }
+
+    async fn set_standin(&self, what: &str) {
+        let url = format!("http://{}/standin/{what}", self.platform.address("address"));
+        send("PUT", &url, &[], String::new()).await.expect("a stand-in answers");
+    }
+
     /// Sets the host list.
     pub async fn set_hosts(&self, hosts: &[(&str, &str)], lag_ms: u64) {
         let hosts: Vec<_> = hosts
