Positions in the store are an era and a revision; hubs tell nothing across eras

A store that comes back from an older copy gives revisions out again, so a follower that goes by revisions alone waits for one that never comes, or passes over changes. The era goes with the questions of shared watches, in an optional field; a process that sends none is told to watch by itself.

--- a/crates/bilberry-core/src/freshness.rs
+++ b/crates/bilberry-core/src/freshness.rs
@@ -1,6 +1,7 @@
 //! Until when what was read from the platform may be relied on.
 
 use crate::UnixMs;
+use crate::lapses::BACK_WITHIN_MS;
 
 /// How recently something was confirmed to be the newest there is.
 ///
@@ -10,12 +11,25 @@
 #[derive(Debug, Copy, Clone, Default, PartialEq, Eq)]
 pub struct Freshness {
     confirmed_at: UnixMs,
+    doubt: Option<Doubt>,
+}
+
+/// What a store that came back from an older copy may still lack.
+#[derive(Debug, Copy, Clone, PartialEq, Eq)]
+struct Doubt {
+    /// By when what was lost has been written again.
+    until: UnixMs,
+    /// Whether it shows an older state than one that it had.
+    is_behind: bool,
 }
 
 impl Freshness {
     /// Notes an answer with news, or to a plain read, to a question of `asked_at`.
     pub fn confirm_read(&mut self, asked_at: UnixMs) {
-        self.confirmed_at = self.confirmed_at.max(asked_at);
+        if !self.is_doubted(asked_at) {
+            self.doubt = None;
+            self.confirmed_at = self.confirmed_at.max(asked_at);
+        }
     }
 
     /// Notes that a watch of `wait_ms` ended at `now` with nothing new.
@@ -26,6 +40,37 @@
         self.confirm_read(asked_at.plus_ms(wait_ms).min(now));
     }
 
+    /// Notes that the store came back from an older copy, as noticed at `now`.
+    ///
+    /// It may lack what it had acknowledged, also what nobody here ever heard of, and
+    /// nothing in the copy tells. If the copy confirmed what is known, a key that was
+    /// taken away in the seconds lost would open until that is written again. So what
+    /// was confirmed before runs out as if the store were away until then.
+    pub fn doubt(&mut self, now: UnixMs) {
+        let until = now.plus_ms(BACK_WITHIN_MS);
+        self.doubt = Some(Doubt { until, is_behind: true });
+    }
+
+    /// Notes what the copy shows: whether its state is older than the one known.
+    pub fn note_copy(&mut self, is_behind: bool) {
+        if let Some(doubt) = &mut self.doubt {
+            doubt.is_behind = is_behind;
+        }
+    }
+
+    /// Notes that a state no older than the one known was written after the return.
+    ///
+    /// Whoever writes again writes the newest, so nothing is lacking any more.
+    pub fn note_written_again(&mut self) {
+        self.doubt = None;
+    }
+
+    /// Reports whether an answer of `at` confirms nothing, as the store may lack what it
+    /// had before.
+    pub fn is_doubted(&self, at: UnixMs) -> bool {
+        self.doubt.is_some_and(|doubt| doubt.is_behind || at < doubt.until)
+    }
+
     /// Returns when the knowledge was last known to be the newest.
     pub fn confirmed_at(&self) -> UnixMs {
         self.confirmed_at
--- a/crates/bilberry-core/src/lapses.rs
+++ b/crates/bilberry-core/src/lapses.rs
@@ -14,7 +14,7 @@
 /// Entries of servers that live are back within about two seconds of it. A process
 /// notices the return up to a second late, and is to have given up what left within
 /// three seconds of it.
-const BACK_WITHIN_MS: u64 = 1_900;
+pub(crate) const BACK_WITHIN_MS: u64 = 1_900;
 
 /// How many heartbeats of a server an outage covers before its entry may lapse.
 ///
@@ -75,12 +75,24 @@
         let lost_calls = std::mem::take(&mut self.lost_calls);
         let Some(lost_at) = self.lost_at.take() else { return };
         if lost_calls >= CALLS_TO_LAPSE && now.ms_since(lost_at) >= self.lapse_ms {
-            self.back_at = Some(now);
-            let until = now.plus_ms(BACK_WITHIN_MS);
-            self.missing.values_mut().for_each(|due| *due = until);
+            self.note_back(now);
         }
     }
 
+    /// Notes that the store came back from an older copy, which may lack servers that
+    /// live, however short it was away.
+    pub fn note_restored(&mut self, now: UnixMs) {
+        self.lost_calls = 0;
+        self.lost_at = None;
+        self.note_back(now);
+    }
+
+    fn note_back(&mut self, now: UnixMs) {
+        self.back_at = Some(now);
+        let until = now.plus_ms(BACK_WITHIN_MS);
+        self.missing.values_mut().for_each(|due| *due = until);
+    }
+
     /// Says what becomes of a server that is no longer listed.
     ///
     /// One that is missing already keeps its time, however often it is looked for.
--- a/crates/bilberry-core/tests/shared_watch.rs
+++ b/crates/bilberry-core/tests/shared_watch.rs
@@ -3,6 +3,7 @@
 use bilberry_core::Brought;
 use bilberry_core::HubCandidate;
 use bilberry_core::Name;
+use bilberry_core::StorePosition;
 use bilberry_core::UnixMs;
 use bilberry_core::WatchQuestion;
 use bilberry_core::WatchReply;
@@ -10,17 +11,24 @@
 use bilberry_core::known_at;
 use proptest::prelude::*;
 
+/// A position in a store that tells no era.
+fn at(revision: u64) -> StorePosition {
+    StorePosition { era: None, revision }
+}
+
 fn quiet(from: u64, to: u64, known_ms: u64) -> Brought<Vec<u64>> {
+    let (from, to) = (at(from), at(to));
     Brought { from, to, news: None, known_at: UnixMs(known_ms) }
 }
 
 fn news(from: u64, changes: &[u64], known_ms: u64) -> Brought<Vec<u64>> {
-    let to = *changes.last().expect("there are changes");
+    let to = at(*changes.last().expect("there are changes"));
+    let from = at(from);
     Brought { from, to, news: Some(changes.to_vec()), known_at: UnixMs(known_ms) }
 }
 
 fn question(revision: u64, arrived_ms: u64) -> WatchQuestion {
-    WatchQuestion { revision, arrived_at: UnixMs(arrived_ms) }
+    WatchQuestion { position: at(revision), arrived_at: UnixMs(arrived_ms) }
 }
 
 #[test]
@@ -30,7 +38,7 @@
     // entry has two: told all, it goes back to 11 for a moment.
     let batch = news(10, &[11, 12, 13], 0);
     assert_eq!(question(12, 0).hear(&batch), Some(WatchReply::OutOfStep));
-    let all = WatchReply::News { revision: 13, news: vec![11, 12, 13], known_ms: 0 };
+    let all = WatchReply::News { position: at(13), news: vec![11, 12, 13], known_ms: 0 };
     assert_eq!(question(10, 0).hear(&batch), Some(all));
     assert_eq!(question(13, 0).hear(&batch), None);
     assert_eq!(question(20, 0).hear(&batch), None);
@@ -41,7 +49,7 @@
     // A key could count too long: the hub's call ended with nothing new, was read late,
     // and the question arrived in between. The next call answers it.
     assert_eq!(question(10, 500).hear(&quiet(10, 10, 499)), None);
-    let later = WatchReply::Quiet { revision: 11, known_ms: 100 };
+    let later = WatchReply::Quiet { position: at(11), known_ms: 100 };
     assert_eq!(question(10, 500).hear(&quiet(10, 11, 600)), Some(later));
     assert_eq!(question(12, 500).hear(&quiet(10, 11, 600)), None);
 }
@@ -144,7 +152,7 @@
                     now += travel_ms + frozen_ms;
                     let question = question(entry_at, now + HUB_AHEAD_MS);
                     asked = Some((asked_ms, question));
-                    if question.is_behind(quiet_from) {
+                    if question.is_behind(at(quiet_from)) {
                         asked = None;
                         seen.extend(store.since(entry_at));
                         entry_at = store.revision;
@@ -162,8 +170,8 @@
                         false => hub_called_at,
                     };
                     let brought = Brought {
-                        from: hub_at,
-                        to,
+                        from: at(hub_at),
+                        to: at(to),
                         news: (!changes.is_empty()).then_some(changes),
                         known_at: UnixMs(known_ms + HUB_AHEAD_MS),
                     };
@@ -178,13 +186,13 @@
                     now += travel_ms;
                     let known = |known_ms| known_at(UnixMs(asked_ms), known_ms, UnixMs(now)).0;
                     match reply {
-                        WatchReply::News { revision, news, known_ms } => {
+                        WatchReply::News { position, news, known_ms } => {
                             seen.extend(news);
-                            entry_at = revision;
+                            entry_at = position.revision;
                             confirmed = confirmed.max(known(known_ms));
                         }
-                        WatchReply::Quiet { revision, known_ms } => {
-                            entry_at = entry_at.max(revision);
+                        WatchReply::Quiet { position, known_ms } => {
+                            entry_at = entry_at.max(position.revision);
                             confirmed = confirmed.max(known(known_ms));
                         }
                         WatchReply::OutOfStep => {
--- a/crates/bilberry-steward/src/watch_hub.rs
+++ b/crates/bilberry-steward/src/watch_hub.rs
@@ -13,6 +13,7 @@
 use bilberry_core::Brought;
 use bilberry_core::Clock;
 use bilberry_core::Name;
+use bilberry_core::StorePosition;
 use bilberry_core::UnixMs;
 use bilberry_core::WatchQuestion;
 use bilberry_core::WatchReply;
@@ -46,12 +47,12 @@
 /// What a call to the store brought.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SourceAnswer {
-    /// Nothing changed; all is told up to this revision.
-    Quiet(u64),
+    /// Nothing changed; all is told up to this position.
+    Quiet(StorePosition),
     /// Something changed.
     News {
-        /// The revision up to which all is told.
-        revision: u64,
+        /// The position up to which all is told.
+        position: StorePosition,
         /// The changes, as the store sent them.
         changes: Bytes,
     },
@@ -87,7 +88,7 @@
 #[derive(Debug)]
 struct SharedKind {
     /// From here on nothing has changed, as far as is told.
-    quiet_from: u64,
+    quiet_from: StorePosition,
     /// Whether the last call failed.
     failing: bool,
     /// What the last asker wanted.
@@ -119,7 +120,7 @@
     /// Answers a question once there is something to say.
     pub async fn answer(self: Arc<Self>, ask: WatchAsk) -> WatchAnswer {
         let arrived_at = self.clock.now();
-        let question = WatchQuestion { revision: ask.revision, arrived_at };
+        let question = WatchQuestion { position: ask.position(), arrived_at };
         let mut outcomes = match self.join(ask, question) {
             Ok(outcomes) => outcomes,
             Err(outcome) => return without_news(outcome),
@@ -153,6 +154,11 @@
                     // Known to be in vain: the asker is not to wait for a call that
                     // fails as well.
                     () if shared.failing => Err(WatchOutcome::Lost),
+                    // It can't learn of the era from the store either. Sent there, it
+                    // would ask in turn there and here without a pause.
+                    () if question.knows_no_era_of(shared.quiet_from) => {
+                        Err(WatchOutcome::Lost)
+                    }
                     () if question.is_behind(shared.quiet_from) => {
                         Err(WatchOutcome::OutOfStep)
                     }
@@ -162,57 +168,63 @@
             None if is_full => Err(WatchOutcome::Lost),
             None => {
                 let (outcomes, heard) = broadcast::channel(OUTCOMES_AHEAD);
-                let revision = question.revision;
+                let position = question.position;
                 let shared = SharedKind {
-                    quiet_from: revision,
+                    quiet_from: position,
                     failing: false,
                     ask,
                     asked_at: question.arrived_at,
                     outcomes,
                 };
                 kinds.insert(kind.clone(), shared);
-                tokio::spawn(self.clone().follow(kind, revision));
+                tokio::spawn(self.clone().follow(kind, position));
                 Ok(heard)
             }
         }
     }
 
-    /// Watches a kind until nobody asks for it any more.
-    async fn follow(self: Arc<Self>, kind: Name, mut revision: u64) {
+    /// Watches a kind until nobody asks for it any more, or its history is over.
+    async fn follow(self: Arc<Self>, kind: Name, mut position: StorePosition) {
+        let revision = position.revision;
         log::info!(target: "store", kind = kind.as_str(), revision; "watches for entries");
         while let Some(terms) = self.terms(&kind) {
             let asked_at = self.clock.now();
-            let call = self.source.watch(&kind, revision, terms.wait_ms);
-            match call.await {
+            let call = self.source.watch(&kind, position.revision, terms.wait_ms);
+            let brought = match call.await {
                 Ok(SourceAnswer::Quiet(to)) => {
                     let quiet_until = asked_at.plus_ms(terms.wait_ms);
                     let known_at = quiet_until.min(self.clock.now());
-                    let brought = Brought { from: revision, to, news: None, known_at };
-                    revision = revision.max(to);
-                    self.tell(&kind, Outcome::Brought(brought));
+                    Brought { from: position, to, news: None, known_at }
                 }
-                Ok(SourceAnswer::News { revision: to, changes }) => {
+                Ok(SourceAnswer::News { position: to, changes }) => {
                     let news = Some(changes);
-                    let brought =
-                        Brought { from: revision, to, news, known_at: asked_at };
-                    revision = to;
-                    self.tell(&kind, Outcome::Brought(brought));
-                    // Changes that come in a row are read together.
-                    let next_at = asked_at.plus_ms(terms.spacing_ms);
-                    sleep(next_at.left(self.clock.now())).await;
+                    Brought { from: position, to, news, known_at: asked_at }
                 }
                 Ok(SourceAnswer::HistoryLost) => break,
                 Err(lost) => {
                     self.note_lost(&kind, &lost);
                     self.tell(&kind, Outcome::Lost);
                     sleep(PAUSE).await;
+                    continue;
                 }
+            };
+            if !brought.is_of_one_era() {
+                break;
+            }
+            let is_news = brought.news.is_some();
+            position = if is_news { brought.to } else { position.max(brought.to) };
+            self.tell(&kind, Outcome::Brought(brought));
+            if is_news {
+                // Changes that come in a row are read together.
+                let next_at = asked_at.plus_ms(terms.spacing_ms);
+                sleep(next_at.left(self.clock.now())).await;
             }
         }
         let ended = self.kinds.lock().unwrap().remove(&kind);
         if let Some(shared) = ended {
             let _ = shared.outcomes.send(Outcome::HistoryLost);
         }
+        let revision = position.revision;
         log::info!(target: "store", kind = kind.as_str(), revision; "watches for entries no more");
     }
 
@@ -251,16 +263,17 @@
 }
 
 fn into_answer(reply: WatchReply<Bytes>) -> WatchAnswer {
-    match reply {
-        WatchReply::News { revision, news, known_ms } => {
-            WatchAnswer { outcome: WatchOutcome::News.into(), revision, known_ms, news }
+    let (outcome, position, known_ms, news) = match reply {
+        WatchReply::News { position, news, known_ms } => {
+            (WatchOutcome::News, position, known_ms, news)
         }
-        WatchReply::Quiet { revision, known_ms } => {
-            let outcome = WatchOutcome::Quiet.into();
-            WatchAnswer { outcome, revision, known_ms, ..WatchAnswer::default() }
+        WatchReply::Quiet { position, known_ms } => {
+            (WatchOutcome::Quiet, position, known_ms, Bytes::new())
         }
-        WatchReply::OutOfStep => without_news(WatchOutcome::OutOfStep),
-    }
+        WatchReply::OutOfStep => return without_news(WatchOutcome::OutOfStep),
+    };
+    let StorePosition { era, revision } = position;
+    WatchAnswer { outcome: outcome.into(), revision, known_ms, news, era }
 }
 
 fn without_news(outcome: WatchOutcome) -> WatchAnswer {
--- a/crates/bilberry-steward/tests/watch_hub.rs
+++ b/crates/bilberry-steward/tests/watch_hub.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 
 use bilberry_core::BootClock;
+use bilberry_core::StorePosition;
 use bilberry_steward::SourceAnswer;
 use bilberry_steward::SourceLost;
 use bilberry_steward::WatchHub;
@@ -53,11 +54,18 @@
 
     /// Asks, and waits until the hub has the question.
     async fn ask(&self, revision: u64) -> JoinHandle<WatchAnswer> {
+        self.ask_from(at(None, revision)).await
+    }
+
+    /// Asks from a position, and waits until the hub has the question.
+    async fn ask_from(&self, position: StorePosition) -> JoinHandle<WatchAnswer> {
+        let StorePosition { era, revision } = position;
         let ask = WatchAsk {
             kind: "config".to_string(),
             revision,
             wait_ms: 1_000,
             spacing_ms: 0,
+            era,
         };
         let asking = tokio::spawn(self.hub.clone().answer(ask));
         tokio::task::yield_now().await;
@@ -73,8 +81,20 @@
     }
 }
 
+fn at(era: Option<u64>, revision: u64) -> StorePosition {
+    StorePosition { era, revision }
+}
+
 fn news(revision: u64, changes: &'static str) -> Answer {
-    Ok(SourceAnswer::News { revision, changes: Bytes::from_static(changes.as_bytes()) })
+    news_to(at(None, revision), changes)
+}
+
+fn news_to(position: StorePosition, changes: &'static str) -> Answer {
+    Ok(SourceAnswer::News { position, changes: Bytes::from_static(changes.as_bytes()) })
+}
+
+fn quiet(revision: u64) -> Answer {
+    Ok(SourceAnswer::Quiet(at(None, revision)))
 }
 
 async fn answered(asking: JoinHandle<WatchAnswer>) -> WatchAnswer {
@@ -112,7 +132,7 @@
     let behind = answered(fixture.ask(8).await).await;
     assert_eq!(behind.outcome(), WatchOutcome::OutOfStep);
     let in_step = fixture.ask(9).await;
-    fixture.says(Ok(SourceAnswer::Quiet(12)));
+    fixture.says(quiet(12));
     let answer = answered(in_step).await;
     assert_eq!((answer.outcome(), answer.revision), (WatchOutcome::Quiet, 12));
 }
@@ -127,7 +147,7 @@
     assert_eq!(answered(waiting).await.outcome(), WatchOutcome::Lost);
     assert_eq!(answered(fixture.ask(7).await).await.outcome(), WatchOutcome::Lost);
     // Its next call comes back at once, and once that was answered it tells again.
-    fixture.says(Ok(SourceAnswer::Quiet(8)));
+    fixture.says(quiet(8));
     let asked_again = async {
         while fixture.calls().len() < 3 {
             tokio::time::sleep(std::time::Duration::from_millis(5)).await;
@@ -169,3 +189,45 @@
     assert_eq!(refused.outcome(), WatchOutcome::Lost);
     assert!(fixture.calls().len() <= 8);
 }
+
+#[tokio::test]
+async fn a_store_from_an_older_copy_sends_all_to_the_store() {
+    // Callers' entries would take what followed revision 12 of one history for what
+    // followed it in the other. Nothing of the call that saw the change is told.
+    let fixture = Fixture::new();
+    let waiting = fixture.ask_from(at(Some(1), 12)).await;
+    fixture.says(news_to(at(Some(2), 14), "changes"));
+    assert_eq!(answered(waiting).await.outcome(), WatchOutcome::OutOfStep);
+    // The entry lists, and asks from the era that it has read.
+    let again = fixture.ask_from(at(Some(2), 11)).await;
+    fixture.says(news_to(at(Some(2), 14), "later"));
+    let answer = answered(again).await;
+    assert_eq!((answer.outcome(), answer.era), (WatchOutcome::News, Some(2)));
+    // One that is late by an era is sent there too, whatever its revision.
+    let late = answered(fixture.ask_from(at(Some(1), 900)).await).await;
+    assert_eq!(late.outcome(), WatchOutcome::OutOfStep);
+}
+
+#[tokio::test]
+async fn a_hub_of_an_earlier_era_keeps_an_entry_of_a_later_one_waiting() {
+    // Told "quiet", the entry would count keys as confirmed by a history that is over.
+    // Sent to the store, it would ask in turn there and here until the hub's call ends.
+    let fixture = Fixture::new();
+    let first = fixture.ask_from(at(Some(1), 12)).await;
+    let ahead = fixture.ask_from(at(Some(2), 5)).await;
+    fixture.says(Ok(SourceAnswer::Quiet(at(Some(1), 12))));
+    assert_eq!(answered(first).await.outcome(), WatchOutcome::Quiet);
+    assert!(!ahead.is_finished());
+    fixture.says(Ok(SourceAnswer::Quiet(at(Some(2), 6))));
+    assert_eq!(answered(ahead).await.outcome(), WatchOutcome::OutOfStep);
+}
+
+#[tokio::test]
+async fn an_entry_that_knows_no_eras_watches_by_itself() {
+    // An older process can't be told in which era it is. Sent to the store, it would ask
+    // in turn there and here without a pause.
+    let fixture = Fixture::new();
+    let _first = fixture.ask_from(at(Some(1), 12)).await;
+    let older = answered(fixture.ask(12).await).await;
+    assert_eq!(older.outcome(), WatchOutcome::Lost);
+}
--- a/crates/bilberry-wire/src/shared_watch.rs
+++ b/crates/bilberry-wire/src/shared_watch.rs
@@ -1,5 +1,6 @@
 //! A watch of the platform's store that a sidecar shares with entries.
 
+use bilberry_core::StorePosition;
 use bytes::Bytes;
 
 /// Asks for the changes of one kind of objects after a revision.
@@ -19,6 +20,17 @@
     /// The least time between two calls of which the first brought changes.
     #[prost(uint64, tag = "4")]
     pub spacing_ms: u64,
+    /// The era of the store that the revision is of; none where the store tells none, or
+    /// from a process that knows no eras.
+    #[prost(uint64, optional, tag = "5")]
+    pub era: Option<u64>,
+}
+
+impl WatchAsk {
+    /// Returns the position up to which the asker knows everything.
+    pub fn position(&self) -> StorePosition {
+        StorePosition { era: self.era, revision: self.revision }
+    }
 }
 
 /// What came of a question for changes.
@@ -55,4 +67,8 @@
     /// The changes, as the store sent them.
     #[prost(bytes = "bytes", tag = "4")]
     pub news: Bytes,
+    /// The era of the store that the revision is of; none where the store tells none, or
+    /// from a process that knows no eras.
+    #[prost(uint64, optional, tag = "5")]
+    pub era: Option<u64>,
 }
