Followers and hubs go by the store's era; a return from an older copy lists anew

The header is decoded once, by the client of the store, which knows the newest era that any call of the process has heard of: a late answer of an earlier one is an error, and a watch that hangs ends with the first answer of a later one. Each follower then gives its position up, keeps what it knows and lists. Configuration: the copy confirms no keys until it is written again or 1.9 s have passed; readiness follows the keys meanwhile. Servers: those that the copy lacks lapse as after an outage, those that had left are held back; which of two identities at an address is later goes by era and revision. Weights: what is named in that time is dated like what was named in an outage. A hub's answer without the era is not believed.

--- a/crates/bilberry-core/src/freshness.rs
+++ b/crates/bilberry-core/src/freshness.rs
@@ -71,6 +71,16 @@
         self.doubt.is_some_and(|doubt| doubt.is_behind || at < doubt.until)
     }
 
+    /// Reports whether the store may lack what it had before, as far as is confirmed.
+    pub fn has_doubt(&self) -> bool {
+        self.doubt.is_some()
+    }
+
+    /// Returns when what was lost has been written again, while that is in doubt.
+    pub fn doubted_until(&self) -> Option<UnixMs> {
+        self.doubt.map(|doubt| doubt.until)
+    }
+
     /// Returns when the knowledge was last known to be the newest.
     pub fn confirmed_at(&self) -> UnixMs {
         self.confirmed_at
--- a/crates/bilberry-gateway/examples/prompt_keys.rs
+++ b/crates/bilberry-gateway/examples/prompt_keys.rs
@@ -7,6 +7,7 @@
 use std::hint::black_box;
 use std::time::Instant;
 
+use bilberry_core::StorePosition;
 use bilberry_core::UnixMs;
 use bilberry_core::part_key;
 use bilberry_gateway::Listed;
@@ -88,7 +89,7 @@
         slots: 48,
         leaving: false,
         models: Vec::new(),
-        listed_at: 1,
+        listed_at: StorePosition { era: None, revision: 1 },
         incarnation: None,
     })
 }
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -135,6 +135,12 @@
         change(&mut self.policy_fresh.lock().unwrap());
     }
 
+    /// Returns when an older copy of the configuration may confirm keys again, while it
+    /// confirms none.
+    pub fn policy_doubted_until(&self) -> Option<UnixMs> {
+        self.policy_fresh.lock().unwrap().doubted_until()
+    }
+
     /// Reports whether the configuration was confirmed within a time.
     pub fn policy_is_fresh(&self, within_ms: u64) -> bool {
         self.policy_fresh.lock().unwrap().holds(self.clock.now(), within_ms)
@@ -166,7 +172,7 @@
             // better off at an entry that doesn't depend on one.
             Some(good_ms) => {
                 let within_ms = good_ms / 2;
-                self.policy_is_fresh(within_ms) && self.has_reached_store(within_ms)
+                self.is_fresh_enough(within_ms) && self.has_reached_store(within_ms)
             }
             None => true,
         };
@@ -174,6 +180,18 @@
         !self.is_stopping() && knows_all && fresh
     }
 
+    /// Reports whether the configuration is fresh enough for new callers.
+    ///
+    /// After the store's return from an older copy all entries are in the same doubt:
+    /// callers who were sent away had nowhere to go while their keys are good everywhere.
+    fn is_fresh_enough(&self, within_ms: u64) -> bool {
+        let has_doubt = self.policy_fresh.lock().unwrap().has_doubt();
+        match has_doubt {
+            true => self.keys_are_good(),
+            false => self.policy_is_fresh(within_ms),
+        }
+    }
+
     /// Takes no new callers from now on.
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
--- a/crates/bilberry-gateway/src/listed.rs
+++ b/crates/bilberry-gateway/src/listed.rs
@@ -4,6 +4,7 @@
 
 use bilberry_core::Incarnation;
 use bilberry_core::Name;
+use bilberry_core::StorePosition;
 
 /// An upstream as the platform lists it.
 #[derive(Debug, Clone, PartialEq)]
@@ -22,8 +23,8 @@
     pub leaving: bool,
     /// The models that it serves, with the versions of their weights.
     pub models: Vec<(Name, u64)>,
-    /// When it was first listed, as a number that grows with each new entry.
-    pub listed_at: u64,
+    /// When it was first listed, as a position that grows with each new entry.
+    pub listed_at: StorePosition,
     /// Which of its starts this is, if it tells it.
     pub incarnation: Option<Incarnation>,
 }
--- a/crates/bilberry-gateway/src/metrics.rs
+++ b/crates/bilberry-gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Mutex;
 
+use bilberry_node::EraChanges;
 use bilberry_node::UnreadableObjects;
 use bilberry_node::render_metrics;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -46,6 +47,8 @@
     pub watches: Family<OutcomeLabel, Counter>,
     /// Objects of the platform's store that were not understood.
     pub unreadable: UnreadableObjects,
+    /// Returns of the platform's store from an older copy.
+    pub era_changes: EraChanges,
     /// Log lines that were dropped.
     pub dropped_lines: Counter,
 }
@@ -66,6 +69,7 @@
             config_version: Gauge::default(),
             watches: Family::default(),
             unreadable: UnreadableObjects::default(),
+            era_changes: EraChanges::default(),
             dropped_lines: Counter::default(),
         };
         metrics.register();
@@ -92,6 +96,7 @@
         let help = "Questions for changes of the store";
         registry.register("watches", help, self.watches.clone());
         self.unreadable.register(&mut registry);
+        self.era_changes.register(&mut registry);
         let dropped = self.dropped_lines.clone();
         registry.register("dropped_lines", "Log lines dropped", dropped);
     }
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -10,6 +10,7 @@
 use bilberry_core::Incarnation;
 use bilberry_core::Name;
 use bilberry_core::Offer;
+use bilberry_core::StorePosition;
 use bilberry_core::UnixMs;
 use bilberry_core::Weights;
 use bilberry_wire::CacheChange;
@@ -85,8 +86,8 @@
     pub place: Name,
     /// A hash of its identity.
     pub seed: u64,
-    /// When it was first listed, as a number that grows with each new entry.
-    pub listed_at: u64,
+    /// When it was first listed, as a position that grows with each new entry.
+    pub listed_at: StorePosition,
     live: Mutex<Live>,
     parts: Mutex<HashMap<u64, UnixMs>>,
     lost: watch::Sender<bool>,
--- a/crates/bilberry-gateway/tests/incarnations.rs
+++ b/crates/bilberry-gateway/tests/incarnations.rs
@@ -7,6 +7,7 @@
 use bilberry_core::Incarnation;
 use bilberry_core::Name;
 use bilberry_core::Offer;
+use bilberry_core::StorePosition;
 use bilberry_core::UnixMs;
 use bilberry_gateway::EngineTerms;
 use bilberry_gateway::KeptParts;
@@ -35,7 +36,7 @@
         slots: 2,
         leaving: false,
         models: vec![(MODEL.into(), version)],
-        listed_at: 1,
+        listed_at: StorePosition { era: None, revision: 1 },
         incarnation: born_ms.map(|ms| Incarnation { born_at: UnixMs(ms) }),
     }
 }
@@ -309,7 +310,11 @@
     // Callers are served by the server that answers there. An identity that was
     // listed long ago starts again at the address of one that is listed since.
     let upstreams = of_one_pool();
-    let other = Listed { id: "engine-9".into(), listed_at: 2, ..listed(Some(2), 1) };
+    let other = Listed {
+        id: "engine-9".into(),
+        listed_at: StorePosition { era: None, revision: 2 },
+        ..listed(Some(2), 1)
+    };
     upstreams.put(&listed(Some(1), 1));
     upstreams.put(&other);
     assert!(!offer(&upstreams).usable);
--- a/crates/bilberry-gateway/tests/knowledge.rs
+++ b/crates/bilberry-gateway/tests/knowledge.rs
@@ -1,6 +1,7 @@
 //! What an entry learns from answers and from sidecars.
 
 use bilberry_core::Name;
+use bilberry_core::StorePosition;
 use bilberry_core::UnixMs;
 use bilberry_core::part_key;
 use bilberry_gateway::KeptParts;
@@ -25,7 +26,7 @@
         slots: 48,
         leaving: false,
         models: vec![("model".into(), 1)],
-        listed_at: 1,
+        listed_at: StorePosition { era: None, revision: 1 },
         incarnation: None,
     })
 }
--- /dev/null
+++ b/crates/bilberry-node/src/era_changes.rs
@@ -0,0 +1,28 @@
+//! The count of returns of the platform's store from an older copy.
+
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::registry::Registry;
+
+/// Counts changes of the store's era that a process has noticed.
+#[derive(Debug, Clone, Default)]
+pub struct EraChanges {
+    count: Counter,
+}
+
+impl EraChanges {
+    /// Adds the counter to a process's metrics.
+    pub fn register(&self, registry: &mut Registry) {
+        let help = "Returns of the store from an older copy";
+        registry.register("store_era_changes", help, self.count.clone());
+    }
+
+    /// Counts one change.
+    pub fn count(&self) {
+        self.count.inc();
+    }
+
+    /// Returns how many were counted.
+    pub fn total(&self) -> u64 {
+        self.count.get()
+    }
+}
--- a/crates/bilberry-steward/src/metrics.rs
+++ b/crates/bilberry-steward/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Mutex;
 
+use bilberry_node::EraChanges;
 use bilberry_node::UnreadableObjects;
 use bilberry_node::render_metrics;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -43,6 +44,8 @@
     pub used_tokens: Gauge,
     /// Objects of the platform's store that were not understood.
     pub unreadable: UnreadableObjects,
+    /// Returns of the platform's store from an older copy.
+    pub era_changes: EraChanges,
 }
 
 impl StewardMetrics {
@@ -59,6 +62,7 @@
             queued: Gauge::default(),
             used_tokens: Gauge::default(),
             unreadable: UnreadableObjects::default(),
+            era_changes: EraChanges::default(),
         };
         metrics.register();
         metrics
@@ -80,6 +84,7 @@
         let used = self.used_tokens.clone();
         registry.register("used_tokens", "Tokens of memory in use", used);
         self.unreadable.register(&mut registry);
+        self.era_changes.register(&mut registry);
     }
 
     /// Counts an order.
--- a/crates/bilberryd/src/hosted.rs
+++ b/crates/bilberryd/src/hosted.rs
@@ -144,7 +144,8 @@
             },
         },
     ));
-    let store = ObjectStore::new(settings.store);
+    let era_changes = gateway.metrics.era_changes.clone();
+    let store = ObjectStore::new(settings.store, era_changes);
     let config = ConfigFollower { gateway: gateway.clone(), apply_ms: settings.apply_ms };
     tokio::spawn(follow(store.clone(), gateway.clone(), clock, config));
     let hosts =
@@ -199,7 +200,8 @@
     let steward = Arc::new(steward);
     let unreadable = steward.metrics.unreadable.clone();
     let weights = WeightsFollower { newest: newest.clone(), clock, unreadable };
-    let store = ObjectStore::new(settings.store);
+    let era_changes = steward.metrics.era_changes.clone();
+    let store = ObjectStore::new(settings.store, era_changes);
     tokio::spawn(follow(store.clone(), NoHubs, clock, weights));
     let hub = Arc::new(WatchHub::new(store, clock));
     let feed = bind("peers", SocketAddr::new(settings.bind, settings.peers_port)).await?;
