An outage after the store's return gives the doubt about keys its time anew

The store is back for a moment and away again, as faults overlap: the operators could not write again what was lost, and the next answer, seconds later, confirmed keys by the copy. Two calls in a row without an answer count, as for servers that lapse.

--- a/crates/bilberry-core/src/freshness.rs
+++ b/crates/bilberry-core/src/freshness.rs
@@ -2,6 +2,7 @@
 
 use crate::UnixMs;
 use crate::lapses::BACK_WITHIN_MS;
+use crate::lapses::CALLS_TO_LAPSE;
 
 /// How recently something was confirmed to be the newest there is.
 ///
@@ -21,11 +22,16 @@
     until: UnixMs,
     /// Whether it shows an older state than one that it had.
     is_behind: bool,
+    /// How many calls in a row were not answered.
+    lost_calls: u32,
 }
 
 impl Freshness {
     /// Notes an answer with news, or to a plain read, to a question of `asked_at`.
     pub fn confirm_read(&mut self, asked_at: UnixMs) {
+        if let Some(doubt) = &mut self.doubt {
+            doubt.note_answer(asked_at);
+        }
         if !self.is_doubted(asked_at) {
             self.doubt = None;
             self.confirmed_at = self.confirmed_at.max(asked_at);
@@ -48,7 +54,17 @@
     /// was confirmed before runs out as if the store were away until then.
     pub fn doubt(&mut self, now: UnixMs) {
         let until = now.plus_ms(BACK_WITHIN_MS);
-        self.doubt = Some(Doubt { until, is_behind: true });
+        self.doubt = Some(Doubt { until, is_behind: true, lost_calls: 0 });
+    }
+
+    /// Notes that a call to the store was not answered.
+    ///
+    /// Nobody can write again what was lost while the store is away once more, so after
+    /// an outage the doubt has its time anew. A single call that failed is no outage.
+    pub fn note_lost(&mut self) {
+        if let Some(doubt) = &mut self.doubt {
+            doubt.lost_calls += 1;
+        }
     }
 
     /// Notes what the copy shows: whether its state is older than the one known.
@@ -91,3 +107,12 @@
         now.ms_since(self.confirmed_at) < within_ms
     }
 }
+
+impl Doubt {
+    /// Notes that a call made at `asked_at` was answered.
+    fn note_answer(&mut self, asked_at: UnixMs) {
+        if std::mem::take(&mut self.lost_calls) >= CALLS_TO_LAPSE {
+            self.until = self.until.max(asked_at.plus_ms(BACK_WITHIN_MS));
+        }
+    }
+}
--- a/crates/bilberry-core/src/lapses.rs
+++ b/crates/bilberry-core/src/lapses.rs
@@ -27,7 +27,7 @@
 ///
 /// A watch on a connection that fell silent is given up after longer than two
 /// heartbeats, and the next call is answered: one lost watch is no outage.
-const CALLS_TO_LAPSE: u32 = 2;
+pub(crate) const CALLS_TO_LAPSE: u32 = 2;
 
 /// What becomes of a server that is no longer listed.
 #[derive(Debug, Copy, Clone, PartialEq, Eq)]
--- a/crates/bilberry-core/tests/store_eras.rs
+++ b/crates/bilberry-core/tests/store_eras.rs
@@ -152,6 +152,29 @@
     assert_eq!(freshness.confirmed_at(), UnixMs(19_100));
 }
 
+#[test]
+fn an_outage_after_the_return_gives_the_doubt_its_time_anew() {
+    // The store is back for a moment and away again, so the operators could not write
+    // again what was lost. Its next answer shows the copy still.
+    let mut freshness = Freshness::default();
+    freshness.confirm_read(UnixMs(10_000));
+    freshness.doubt(UnixMs(11_000));
+    freshness.note_copy(false);
+    freshness.note_lost();
+    freshness.note_lost();
+    freshness.confirm_read(UnixMs(14_000));
+    freshness.confirm_read(UnixMs(15_899));
+    assert_eq!(freshness.confirmed_at(), UnixMs(10_000));
+    freshness.confirm_read(UnixMs(15_900));
+    assert_eq!(freshness.confirmed_at(), UnixMs(15_900));
+    // One call that failed takes no time from callers.
+    freshness.doubt(UnixMs(20_000));
+    freshness.note_copy(false);
+    freshness.note_lost();
+    freshness.confirm_read(UnixMs(21_900));
+    assert_eq!(freshness.confirmed_at(), UnixMs(21_900));
+}
+
 #[test]
 fn servers_that_the_copy_lacks_have_time_to_write_again() {
     // Callers would be crowded onto the servers that the copy has. The store was away for
