--- a/crates/bilberry-entry/src/knowledge.rs
+++ b/crates/bilberry-entry/src/knowledge.rs
@@ -67,6 +67,13 @@
     pub weights: Name,
 }
 
+impl Answered {
+    /// Reports whether the upstream takes new work.
+    pub fn is_ready(&self) -> bool {
+        self.readiness == Readiness::Ready
+    }
+}
+
 /// A source of knowledge about upstreams.
 pub trait Knowledge: Send + Sync + 'static {
     /// Whether all upstreams are asked, and not only the likely ones.
--- a/crates/bilberry-entry/src/router.rs
+++ b/crates/bilberry-entry/src/router.rs
@@ -26,7 +26,6 @@
 use bilberry_core::rendezvous;
 use bilberry_core::weights_version;
 use bilberry_node::Node;
-use bilberry_wire::Readiness;
 
 use crate::Answered;
 use crate::Explained;
@@ -244,14 +243,12 @@
         };
         let answers = self.knowledge.ask(&asked, &question).await;
         self.note_answers(&asked, &answers);
-        let ready: Vec<_> =
-            answers.into_iter().filter(|a| a.readiness == Readiness::Ready).collect();
+        let ready: Vec<_> = answers.iter().filter(|a| a.is_ready()).collect();
         let views: Vec<_> = ready.iter().map(|answer| answer.view.clone()).collect();
         let blocks = chains.values().map(Chain::len).max().unwrap_or(0) as u64;
         let weighing = Weighing { recompute_weight: pool.recompute_weight };
         let best = choose(&views, blocks, weighing).map(|at| ready[at].target);
-        let explained =
-            Explained::new(&views, blocks, weighing, best.map(|at| &asked[at]));
+        let explained = Explained::new(&asked, &answers, blocks, weighing, best);
         self.node.events.record(&ask.request, "routed", explained.detail());
         // Without an answer the first guess stands, unless it said it is leaving.
         best.or_else(|| views.is_empty().then_some(0)).map(|at| order[at])
--- a/crates/bilberryctl/src/commands.rs
+++ b/crates/bilberryctl/src/commands.rs
@@ -181,14 +181,17 @@
             ("UPSTREAM", "upstream"),
             ("HELD_BLOCKS", "held_blocks"),
             ("WAIT_MS", "wait_ms"),
+            ("PREFILL_US_PER_TOKEN", "prefill_us_per_token"),
             ("SCORE_MS", "score_ms"),
         ];
         text.push_str(&format!(
-            "{} chose {} for {} blocks, recompute weight {}\n{}",
+            "{} chose {} for {} blocks, recompute weight {}, unready {}, silent {}\n{}",
             cell(&event["process"]),
             cell(&detail["chosen"]),
             detail["prompt_blocks"],
             detail["recompute_weight"],
+            detail["unready"],
+            detail["silent"],
             columns_table(&detail["answers"], &columns),
         ));
     }
--- a/tests/src/fleet/observe.rs
+++ b/tests/src/fleet/observe.rs
@@ -20,6 +20,16 @@
         }
     }
 
+    /// Returns the decisions that processes remember, the first one first.
+    pub async fn decisions(&self) -> Vec<Value> {
+        let reply = self.admin(0, "GET", "/v1/timeline", "").await;
+        let line = reply.map(|reply| reply.json()).unwrap_or_default();
+        let events = line.as_array().cloned().unwrap_or_default();
+        let routed = events.iter().filter(|event| event["what"] == "routed");
+        let details = routed.filter_map(|event| event["detail"].as_str());
+        details.filter_map(|detail| serde_json::from_str(detail).ok()).collect()
+    }
+
     /// Returns what an engine counted.
     pub async fn engine(&self, at: usize) -> EngineCounters {
         self.counters(&self.upstreams[at]).await
--- a/tests/tests/restarts.rs
+++ b/tests/tests/restarts.rs
@@ -41,6 +41,11 @@
     let mut fleet = Fleet::start(Plan { entries: 3, ..Plan::engines(6) }).await;
     hit_ratio(&fleet, "first").await;
     let before = hit_ratio(&fleet, "second").await;
+    if before < 0.9 {
+        for decision in fleet.decisions().await {
+            println!("{decision}");
+        }
+    }
     let down = PlatformFaults { down: true, ..PlatformFaults::default() };
     fleet.set_faults(&fleet.platform, &down).await;
     for entry in &mut fleet.entries {
