An entry that stood still reads the answers that came meanwhile

When an entry has no processor time over the end of its wait, the answers to its probes lie in its sockets at its return, and the timers end first: all asked count as silent, the prompt is read anew, and three such turns leave sound upstreams out for half a second. The time by which a wait ended late, at most the wait itself, is now spent on reading. Where all is well and one upstream is silent it costs the late timer's millisecond or two. The inner timeout of a probe is gone; dropping the call ends it.

--- a/crates/bilberry-entry/src/knowledge.rs
+++ b/crates/bilberry-entry/src/knowledge.rs
@@ -16,6 +16,7 @@
 use bilberry_wire::Probe;
 use bilberry_wire::ProbeAnswer;
 use bilberry_wire::Readiness;
+use futures_util::Stream;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use tokio::time::Instant;
@@ -116,8 +117,8 @@
             blocks: chain.map_or(0, |chain| chain.len() as u32),
             sample: chain.map(Chain::sample).unwrap_or_default(),
         };
-        let wait = question.wait + LAST_WAIT;
-        match self.links.ask(target.address, Body::Probe(probe), wait).await {
+        let mut call = self.links.call(target.address, Body::Probe(probe)).await.ok()?;
+        match call.next().await {
             Ok(Body::ProbeAnswer(answer)) => Some(answered(at, target, &answer)),
             _ => None,
         }
@@ -126,26 +127,54 @@
 
 impl Knowledge for Probing {
     async fn ask(&self, targets: &[Target], question: &Question<'_>) -> Vec<Answered> {
-        let mut asking: FuturesUnordered<_> = targets
+        let asking: FuturesUnordered<_> = targets
             .iter()
             .enumerate()
             .map(|(at, target)| self.probe(at, target, question))
             .collect();
-        let mut answers = Vec::with_capacity(targets.len());
+        let mut intake = Intake::new(asking);
         let until = Instant::now() + question.wait;
-        while let Ok(Some(answer)) = timeout_at(until, asking.next()).await {
-            answers.extend(answer);
-        }
+        while intake.take(until).await {}
         // Any answer beats a guess, and a holder that is late, as over a link that
         // is just being opened after a restart, beats recomputing a long prompt.
-        while let Ok(Some(answer)) =
-            timeout_at(until + patience(&answers, question), asking.next()).await
-        {
-            answers.extend(answer);
-        }
+        while intake.take(until + patience(&intake.answers, question)).await {}
+        // Answers that came while this process stood still lie in its sockets. Were
+        // they not read, the silence would be its own, and put down to its peers.
+        let until = Instant::now() + intake.stood_still.min(question.wait);
+        while intake.take(until).await {}
         // Equal scores are decided by order, which must not be that of arrival.
-        answers.sort_by_key(|answer| answer.target);
-        answers
+        intake.answers.sort_by_key(|answer| answer.target);
+        intake.answers
+    }
+}
+
+/// Answers as they come in.
+struct Intake<S> {
+    asking: S,
+    answers: Vec<Answered>,
+    /// By how much waits ended late, as this process had no processor time.
+    stood_still: Duration,
+}
+
+impl<S: Stream<Item = Option<Answered>> + Unpin> Intake<S> {
+    fn new(asking: S) -> Self {
+        Self { asking, answers: Vec::new(), stood_still: Duration::ZERO }
+    }
+
+    /// Takes in the next answer; returns false if none is left or `until` has come.
+    async fn take(&mut self, until: Instant) -> bool {
+        let until = until.max(Instant::now());
+        match timeout_at(until, self.asking.next()).await {
+            Ok(Some(answer)) => {
+                self.answers.extend(answer);
+                true
+            }
+            Ok(None) => false,
+            Err(_) => {
+                self.stood_still += until.elapsed();
+                false
+            }
+        }
     }
 }
 
--- a/tests/tests/policy.rs
+++ b/tests/tests/policy.rs
@@ -1,6 +1,7 @@
 //! The routing under faults: black holes, slow and silent engines, refusals.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use bilberry_standins::EngineFaults;
 use bilberry_standins::EngineTraits;
@@ -167,3 +168,35 @@
     }
     assert!(read_anew.is_empty(), "prompts {read_anew:?} were read anew");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_stood_still_reads_the_answers_that_came_meanwhile() {
+    // An entry asks who holds a prompt, and its host gives it no time for some tens
+    // of milliseconds. The answers lie in its sockets when it goes on, as does the
+    // end of its wait for them. It takes all that it asked for silent, and its
+    // caller pays for the whole prompt again.
+    let fleet = Fleet::start(Plan { proxied_sidecars: true, ..Plan::engines(6) }).await;
+    let caller = fleet.caller(0, "anna");
+    let prompts = 24;
+    for at in 0..prompts {
+        assert!(caller.complete(&unique(at), 2).await.done);
+    }
+    for link in &fleet.links {
+        link.delay_answers(5).await;
+    }
+    let mut read_anew = Vec::new();
+    for at in 0..prompts {
+        let before = cached_tokens(&fleet).await;
+        let asking = caller.clone();
+        let asked = tokio::spawn(async move { asking.complete(&unique(at), 2).await });
+        tokio::time::sleep(Duration::from_millis(3)).await;
+        fleet.entries[0].freeze();
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        fleet.entries[0].thaw();
+        assert!(asked.await.expect("a caller ends").done);
+        if cached_tokens(&fleet).await == before {
+            read_anew.push(at);
+        }
+    }
+    assert!(read_anew.is_empty(), "prompts {read_anew:?} were read anew");
+}
