--- a/crates/bilberryctl/src/commands.rs
+++ b/crates/bilberryctl/src/commands.rs
@@ -186,14 +186,14 @@
             ("SCORE_MS", "score_ms"),
         ];
         text.push_str(&format!(
-            "{} chose {} for {} blocks, recompute weight {}, unready {}, silent {}\n{}",
+            "{} chose {} for {} blocks, recompute weight {}\n{}{}{}",
             cell(&event["process"]),
             cell(&detail["chosen"]),
             detail["prompt_blocks"],
             detail["recompute_weight"],
-            detail["unready"],
-            detail["silent"],
             columns_table(&detail["answers"], &columns),
+            names_line("take no new work", &detail["unready"]),
+            names_line("did not answer in time", &detail["silent"]),
         ));
     }
     match text.is_empty() {
@@ -202,6 +202,15 @@
     }
 }
 
+/// Returns a line on upstreams that were asked in vain; nothing where there are none.
+fn names_line(what: &str, names: &Value) -> String {
+    let names: Vec<_> = names.as_array().into_iter().flatten().map(cell).collect();
+    match names.is_empty() {
+        true => String::new(),
+        false => format!("{what}: {}\n", names.join(", ")),
+    }
+}
+
 fn columns_table(value: &Value, columns: &[(&str, &str)]) -> String {
     let rows: Vec<Vec<String>> = value
         .as_array()
--- a/tests/tests/operators.rs
+++ b/tests/tests/operators.rs
@@ -38,8 +38,8 @@
     let (_, text) = ctl(&fleet, &["explain", "my-request"]);
     assert_snapshot!(text, @r#"
         entry-0 chose e0 for 0 blocks, recompute weight 1.5
-        UPSTREAM  HELD_BLOCKS  WAIT_MS  SCORE_MS
-        e0        0            0.0      0.0
+        UPSTREAM  RANKED  HELD_BLOCKS  WAIT_MS  PREFILL_US_PER_TOKEN  SCORE_MS
+        e0        false   0            0.0      50.0                  0.0
         "#);
 }
 
