--- a/tests/tests/policy.rs
+++ b/tests/tests/policy.rs
@@ -1,6 +1,7 @@
 //! The routing under faults: black holes, slow and silent engines, refusals.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use bilberry_standins::EngineFaults;
 use bilberry_standins::EngineTraits;
@@ -18,6 +19,15 @@
     fleet.metric(&fleet.entries[0], "bilberry_upstream_calls_total").await.unwrap_or(0.0)
 }
 
+/// Returns the prompt tokens that engines had cached.
+async fn cached_tokens(fleet: &Fleet) -> u64 {
+    let mut tokens = 0;
+    for at in 0..fleet.plan.engines.len() {
+        tokens += fleet.engine(at).await.cached_tokens;
+    }
+    tokens
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_engine_that_fails_at_once_swallows_no_traffic() {
     // One of three engines answers every call with an error, at once, and so
@@ -132,3 +142,61 @@
         assert_eq!(answer.text, expected_answer(&unique(at), "w1", 2), "{answer:?}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slightly_faster_engine_takes_no_prompt_that_others_do_not_find_there() {
+    // Six idle engines, one of them faster. Some prompts come to an entry while
+    // that one is asked by chance, with none of their ranks leading to it. It
+    // computes them soonest, but the next entry asks others, and each of these
+    // callers pays for its whole prompt a second time.
+    let mut engines = vec![EngineTraits::default(); 6];
+    engines[0].prefill_us_per_token = 25.0;
+    let fleet = Fleet::start(Plan { entries: 3, engines, ..Plan::default() }).await;
+    let prompts = 24;
+    for at in 0..prompts {
+        let caller = fleet.caller(at % 3, "anna");
+        assert!(caller.complete(&unique(at), 2).await.done);
+    }
+    let mut read_anew = Vec::new();
+    for at in 0..prompts {
+        let before = cached_tokens(&fleet).await;
+        let caller = fleet.caller((at + 1) % 3, "anna");
+        assert!(caller.complete(&unique(at), 2).await.done);
+        if cached_tokens(&fleet).await == before {
+            read_anew.push(at);
+        }
+    }
+    assert!(read_anew.is_empty(), "prompts {read_anew:?} were read anew");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_stood_still_reads_the_answers_that_came_meanwhile() {
+    // An entry asks who holds a prompt, and its host gives it no time for some tens
+    // of milliseconds. The answers lie in its sockets when it goes on, as does the
+    // end of its wait for them. It takes all that it asked for silent, and its
+    // caller pays for the whole prompt again.
+    let fleet = Fleet::start(Plan { proxied_sidecars: true, ..Plan::engines(6) }).await;
+    let caller = fleet.caller(0, "anna");
+    let prompts = 24;
+    for at in 0..prompts {
+        assert!(caller.complete(&unique(at), 2).await.done);
+    }
+    for link in &fleet.links {
+        link.delay_answers(5).await;
+    }
+    let mut read_anew = Vec::new();
+    for at in 0..prompts {
+        let before = cached_tokens(&fleet).await;
+        let asking = caller.clone();
+        let asked = tokio::spawn(async move { asking.complete(&unique(at), 2).await });
+        tokio::time::sleep(Duration::from_millis(3)).await;
+        fleet.entries[0].freeze();
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        fleet.entries[0].thaw();
+        assert!(asked.await.expect("a caller ends").done);
+        if cached_tokens(&fleet).await == before {
+            read_anew.push(at);
+        }
+    }
+    assert!(read_anew.is_empty(), "prompts {read_anew:?} were read anew");
+}
