Sidecars are looked for every 200 ms again

Since the set of sidecars was compared with the list at each change of it.

Left: why hearing a restarted engine's sidecar up to 200 ms sooner does harm.

--- a/crates/bilberry-gateway/src/feeds.rs
+++ b/crates/bilberry-gateway/src/feeds.rs
@@ -34,7 +34,7 @@
 use crate::hubs::HubQuestion;
 use crate::hubs::QUESTIONS_AHEAD;
 
-/// How often the set of sidecars is compared with the list at least.
+/// How often the set of sidecars is compared with the list.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 
 /// How long a connection to a sidecar may take.
@@ -74,9 +74,7 @@
                 tokio::spawn(follow(gateway.clone(), id.clone(), *address))
             });
         }
-        // An entry that has just started knows nothing of what engines hold and do; its
-        // callers, a herd after a loss of power, would pay for each moment of that.
-        let _ = timeout(LOOK_EVERY, gateway.upstreams.relisted.notified()).await;
+        sleep(LOOK_EVERY).await;
     }
 }
 
--- a/crates/bilberry-gateway/src/upstreams.rs
+++ b/crates/bilberry-gateway/src/upstreams.rs
@@ -28,8 +28,6 @@
     listed: AtomicBool,
     /// Told whenever an upstream may have room again.
     pub changed: Arc<Notify>,
-    /// Told whenever an upstream is listed or taken off.
-    pub relisted: Notify,
 }
 
 /// Lines of the list that wait for a configuration to name their service.
@@ -212,7 +210,6 @@
             upstreams.sort_by_key(|upstream| upstream.address);
         }
         self.by_pool.store(Arc::new(by_pool));
-        self.relisted.notify_one();
     }
 }
 
