An engine works off what waits there before it loads weights

Nobody waits at the entry (20 to 50 ms); the median in the engine is over a second.

Change: an engine whose turn has come is told of as loading, so it gets nothing new, and the order is given once its report has nothing that waits, or after 1 s. The decision is may_begin_load in bilberry-core. The replay throws back what a load throws back in truth; until now its engines kept it.

--- a/crates/bilberry-core/src/lib.rs
+++ b/crates/bilberry-core/src/lib.rs
@@ -91,6 +91,7 @@
 pub use retry::retry_after_ms;
 pub use rollout::Rollout;
 pub use rollout::RolloutPlace;
+pub use rollout::may_begin_load;
 pub use routing::Candidate;
 pub use routing::Place;
 pub use routing::ProbeView;
--- a/crates/bilberry-core/src/rollout.rs
+++ b/crates/bilberry-core/src/rollout.rs
@@ -84,3 +84,18 @@
         bearable.max(needed).max(1)
     }
 }
+
+/// The longest that a server whose turn has come works off what waits there.
+///
+/// A load throws back whatever has not begun. Those callers waited in vain and come to
+/// the servers that are left, which are full already.
+const MOST_DRAIN_MS: u64 = 1_000;
+
+/// Reports whether a server whose turn came at `turn_at` may begin to load, while
+/// `waiting` requests wait there.
+///
+/// It gets no new work from its turn on and goes on with what waits, so nothing of it is
+/// idle meanwhile.
+pub fn may_begin_load(turn_at: UnixMs, waiting: u64, now: UnixMs) -> bool {
+    waiting == 0 || turn_at.plus_ms(MOST_DRAIN_MS).has_passed_at(now)
+}
--- a/crates/bilberry-core/tests/forwarding.rs
+++ b/crates/bilberry-core/tests/forwarding.rs
@@ -21,6 +21,7 @@
 use bilberry_core::UnixMs;
 use bilberry_core::Weights;
 use bilberry_core::choose_source;
+use bilberry_core::may_begin_load;
 use bilberry_core::part_key;
 use bilberry_core::place;
 use proptest::prelude::*;
@@ -497,6 +498,17 @@
     assert_eq!(rollout.starts_at(UnixMs(0), place), UnixMs(930));
 }
 
+#[test]
+fn a_load_waits_for_what_waits_at_its_server_but_not_for_ever() {
+    // A load throws back what has not begun. What waits is worked off first; a server
+    // that never gets done with it would keep older weights past their bound.
+    let turn_at = UnixMs(5_000);
+    assert!(may_begin_load(turn_at, 0, turn_at));
+    assert!(!may_begin_load(turn_at, 1, turn_at));
+    assert!(!may_begin_load(turn_at, 40, turn_at.plus_ms(500)));
+    assert!(may_begin_load(turn_at, 1, turn_at.plus_ms(2_000)));
+}
+
 #[test]
 fn the_boot_clock_never_goes_back() {
     let clock = BootClock::new();
--- a/crates/bilberry-load/src/decide/agenda.rs
+++ b/crates/bilberry-load/src/decide/agenda.rs
@@ -4,6 +4,7 @@
 use std::collections::BinaryHeap;
 
 use bilberry_core::Reading;
+use bilberry_core::UnixMs;
 
 /// What is still to happen.
 #[derive(Debug, Default)]
@@ -26,7 +27,7 @@
     Tell { from: usize, part: u64, reading: Reading },
     Crash { share: f64, for_ms: f64 },
     Name,
-    Load { engine: usize, version: u64 },
+    Load { engine: usize, version: u64, turn_at: UnixMs },
 }
 
 impl Agenda {
--- a/crates/bilberry-load/src/decide/engine.rs
+++ b/crates/bilberry-load/src/decide/engine.rs
@@ -13,6 +13,8 @@
     pub(crate) loads: bool,
     /// When it went away last.
     pub(crate) away_since_ms: f64,
+    /// When its turn to load weights comes, until it has loaded them.
+    pub(crate) turn_at_ms: Option<f64>,
     /// The version of its weights.
     pub(crate) version: u64,
     /// When it will have read all that it was sent.
@@ -203,11 +205,24 @@
         ended
     }
 
-    /// Loads weights: what runs goes on, and nothing begins meanwhile.
-    pub(crate) fn load(&mut self, version: u64, now_ms: f64, for_ms: f64) {
+    /// Returns how many requests wait for their first event at a moment.
+    pub(crate) fn waiting(&self, now_ms: f64) -> u64 {
+        let waits = |run: &&Run| run.first_event_ms > now_ms;
+        self.active(now_ms).filter(waits).count() as u64
+    }
+
+    /// Loads weights: what runs goes on, and what waits is thrown back.
+    pub(crate) fn load(&mut self, version: u64, now_ms: f64, for_ms: f64) -> Vec<Run> {
+        let (thrown_back, begun) = std::mem::take(&mut self.runs)
+            .into_iter()
+            .partition(|run| run.first_event_ms > now_ms);
+        self.runs = begun;
+        self.read_all_at_ms = now_ms;
         self.version = version;
         self.loads = true;
+        self.turn_at_ms = None;
         self.be_away(now_ms, for_ms);
+        thrown_back
     }
 
     fn be_away(&mut self, now_ms: f64, for_ms: f64) {
--- a/crates/bilberry-load/src/decide/replay.rs
+++ b/crates/bilberry-load/src/decide/replay.rs
@@ -10,6 +10,7 @@
 use bilberry_core::Rollout;
 use bilberry_core::RolloutPlace;
 use bilberry_core::UnixMs;
+use bilberry_core::may_begin_load;
 use bilberry_core::most_wait_for_parts_ms;
 use bilberry_core::place;
 use xxhash_rust::xxh3::xxh3_64;
@@ -25,6 +26,7 @@
 use crate::decide::load::LoadFile;
 use crate::decide::policy::Policy;
 use crate::decide::report::Answer;
+use crate::decide::report::Counts;
 use crate::decide::report::Report;
 
 /// How often a sidecar repeats the load of its engine.
@@ -36,6 +38,9 @@
 /// How late a crash shows: two questions of the sidecar without an answer.
 const DOWN_SEEN_MS: f64 = 80.0;
 
+/// How often a sidecar asks its engine how it fares.
+const ASK_EVERY_MS: f64 = 40.0;
+
 /// How long a request that met a dead engine takes to go elsewhere.
 const SEND_AGAIN_MS: f64 = 2.0;
 
@@ -52,7 +57,7 @@
     while let Some(due) = world.agenda.pop() {
         world.step(due);
     }
-    Report::new(load, &arrivals, &world.answers, world.tokens_read_again)
+    Report::new(load, &arrivals, &world.answers, world.counts)
 }
 
 struct World<'a> {
@@ -66,7 +71,7 @@
     tried: Vec<Vec<usize>>,
     newest: u64,
     read_once: HashSet<u64>,
-    tokens_read_again: u64,
+    counts: Counts,
     answers: Vec<Answer>,
     agenda: Agenda,
 }
@@ -86,7 +91,7 @@
             tried: vec![Vec::new(); arrivals.len()],
             newest: 0,
             read_once: HashSet::new(),
-            tokens_read_again: 0,
+            counts: Counts::default(),
             answers: vec![Answer::Failed; arrivals.len()],
             agenda: Agenda::default(),
         };
@@ -121,9 +126,8 @@
             }
             What::Crash { share, for_ms } => self.crash(share, for_ms, now_ms),
             What::Name => self.name(now_ms),
-            What::Load { engine, version } => {
-                let load_ms = self.load.engines.load_ms as f64;
-                self.engines[engine].load(version, now_ms, load_ms);
+            What::Load { engine, version, turn_at } => {
+                self.begin_load(engine, version, turn_at, now_ms);
             }
         }
     }
@@ -153,11 +157,30 @@
             let place = RolloutPlace { position, servers, down: 0 };
             let starts_at = rollout.starts_at(unix(now_ms), place);
             let at_ms = (starts_at.0 - BEGIN.0) as f64;
-            let what = What::Load { engine: position, version: self.newest };
+            self.engines[position].turn_at_ms = Some(at_ms);
+            let what =
+                What::Load { engine: position, version: self.newest, turn_at: starts_at };
             self.put(at_ms, what);
         }
     }
 
+    /// Has an engine load weights, once what waits there may be thrown back.
+    fn begin_load(&mut self, engine: usize, version: u64, turn_at: UnixMs, now_ms: f64) {
+        let waiting = self.engines[engine].waiting(now_ms);
+        if !may_begin_load(turn_at, waiting, unix(now_ms)) {
+            let what = What::Load { engine, version, turn_at };
+            return self.put(now_ms + ASK_EVERY_MS, what);
+        }
+        let load_ms = self.load.engines.load_ms as f64;
+        for run in self.engines[engine].load(version, now_ms, load_ms) {
+            self.counts.thrown_back += 1;
+            self.answers[run.request] = Answer::Failed;
+            if self.sends[run.request] < MOST_SENDS {
+                self.put(now_ms + SEND_AGAIN_MS, What::Place(run.request));
+            }
+        }
+    }
+
     fn place(&mut self, request: usize, now_ms: f64) {
         let chosen = match self.policy {
             Policy::InTurn => self.next_in_turn(request, now_ms),
@@ -209,7 +232,7 @@
         let read = &keys.parts[keys.parts.len() - done.parts_read..];
         for &(key, tokens) in read {
             if !self.read_once.insert(key) {
-                self.tokens_read_again += tokens;
+                self.counts.tokens_read_again += tokens;
             }
         }
         if self.policy == Policy::Ours {
@@ -313,7 +336,8 @@
     fn is_known_away(&self, at: usize, now_ms: f64) -> bool {
         let engine = &self.engines[at];
         let seen = engine.loads || now_ms - engine.away_since_ms >= DOWN_SEEN_MS;
-        engine.away_until_ms > now_ms && seen
+        let closes = engine.turn_at_ms.is_some_and(|at_ms| at_ms <= now_ms);
+        closes || (engine.away_until_ms > now_ms && seen)
     }
 
     /// Returns how many leading parts another engine supplies, as the entry believes
--- a/crates/bilberry-load/src/decide/report.rs
+++ b/crates/bilberry-load/src/decide/report.rs
@@ -23,6 +23,15 @@
     Failed,
 }
 
+/// What is counted while a replay runs.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Counts {
+    /// Shared tokens that were read though an engine had read them before.
+    pub(crate) tokens_read_again: u64,
+    /// How often a load of weights threw back a request that waited.
+    pub(crate) thrown_back: u64,
+}
+
 /// What came of a replay.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Report {
@@ -38,6 +47,8 @@
     pub p99_ms: f64,
     /// Shared tokens that were read though an engine had read them before.
     pub tokens_read_again: u64,
+    /// How often a load of weights threw back a request that waited.
+    pub thrown_back: u64,
 }
 
 impl Report {
@@ -45,7 +56,7 @@
         load: &LoadFile,
         arrivals: &[Arrival],
         answers: &[Answer],
-        tokens_read_again: u64,
+        counts: Counts,
     ) -> Self {
         let count = (load.duration_s as f64 * 1_000.0 / WINDOW_MS).ceil() as usize;
         let mut asked = vec![0.0; count];
@@ -77,7 +88,8 @@
                 .collect(),
             p50_ms: quantile(0.5),
             p99_ms: quantile(0.99),
-            tokens_read_again,
+            tokens_read_again: counts.tokens_read_again,
+            thrown_back: counts.thrown_back,
         }
     }
 
@@ -92,12 +104,19 @@
 /// Lays the reports out as a table.
 pub(crate) fn table(reports: &[(Policy, Report)]) -> String {
     let mut text = format!(
-        "{:<34}{:>8}{:>8}{:>8}{:>9}{:>9}{:>13}\n",
-        "policy", "in time", "worst", "failed", "p50 ms", "p99 ms", "read again"
+        "{:<34}{:>8}{:>8}{:>8}{:>9}{:>9}{:>13}{:>13}\n",
+        "policy",
+        "in time",
+        "worst",
+        "failed",
+        "p50 ms",
+        "p99 ms",
+        "read again",
+        "thrown back"
     );
     for (policy, report) in reports {
         text.push_str(&format!(
-            "{:<34}{:>8.3}{:>8.3}{:>8.3}{:>9.0}{:>9.0}{:>13}\n",
+            "{:<34}{:>8.3}{:>8.3}{:>8.3}{:>9.0}{:>9.0}{:>13}{:>13}\n",
             policy.to_string(),
             report.in_time,
             report.worst_windows(),
@@ -105,6 +124,7 @@
             report.p50_ms,
             report.p99_ms,
             report.tokens_read_again,
+            report.thrown_back,
         ));
     }
     text.push_str("\nshare in time by window of 2 s\n");
--- a/crates/bilberry-load/tests/decide.rs
+++ b/crates/bilberry-load/tests/decide.rs
@@ -48,11 +48,26 @@
     assert!(in_time(&ours) >= in_time(&apart) - 0.005);
 }
 
+#[test]
+fn a_load_of_weights_throws_back_nobody_who_waits() {
+    // Engines crash under full load, and new weights are named. On an engine whose turn
+    // comes a dozen requests wait to be read. It loads at once and throws them back,
+    // and their callers wait once more, at engines that are full already.
+    let replays = replays("weights-under-overload.toml", Policy::Ours);
+    let thrown_back: Vec<u64> = replays.iter().map(|report| report.thrown_back).collect();
+    assert_eq!(thrown_back, [0; 5]);
+}
+
 #[test]
 fn no_load_is_served_worse_than_in_turn() {
     // Crashes under full load, and a burst on engines half as fast with half of the
     // memory: placing by what entries know late must not do worse than knowing nothing.
-    for name in ["new-weights.toml", "crashes.toml", "burst-on-slow-engines.toml"] {
+    for name in [
+        "new-weights.toml",
+        "crashes.toml",
+        "burst-on-slow-engines.toml",
+        "weights-under-overload.toml",
+    ] {
         let ours = in_time(&replays(name, Policy::Ours));
         let in_turn = in_time(&replays(name, Policy::InTurn));
         let bound = in_time(&replays(name, Policy::AllKnowing));
--- a/crates/bilberry-steward/src/steward.rs
+++ b/crates/bilberry-steward/src/steward.rs
@@ -8,6 +8,7 @@
 use bilberry_core::Rollout;
 use bilberry_core::Told;
 use bilberry_core::UnixMs;
+use bilberry_core::may_begin_load;
 use bilberry_wire::ModelVersion;
 use bilberry_wire::UpstreamState;
 use tokio::sync::watch;
@@ -229,7 +230,11 @@
             self.cache.enter(incarnation);
         }
         self.note_loaded(report, progress, now);
-        if let Some(due) = due.filter(|due| !report.busy && due.starts_at <= now) {
+        let waiting = report.queued;
+        let begins = |due: &Due| {
+            due.starts_at <= now && may_begin_load(due.planned_at, waiting, now)
+        };
+        if let Some(due) = due.filter(|due| !report.busy && begins(due)) {
             self.order(report, &due, progress).await;
         }
     }
@@ -322,6 +327,7 @@
             version = due.weights.version,
             expected = report.orders,
             running = report.running,
+            queued = report.queued,
             lacking_ms = now.ms_since(due.lacking_since);
             "order {outcome}"
         );
