An entry orders engines at whose host no sidecar was ever heard

Symptom: where no sidecar stands beside the engines, named weights never come and from the bound on every request for them is refused. Test first, against the code before: "never came: all engines have the weights" after 60 s. Taken out one at a time, these fail tests too: the sidecar's wait before its first order (holders 15 ms apart), the memory of sidecars that were heard (an entry orders beside a sidecar that is away).

Fencing tokens of sidecars change: the highest of a version in place of the version itself.

--- a/crates/bilberry-gateway/src/feeds.rs
+++ b/crates/bilberry-gateway/src/feeds.rs
@@ -68,8 +68,7 @@
             }
             listed
         });
-        for upstream in upstreams.iter().filter(|upstream| is_engine(&gateway, upstream))
-        {
+        for upstream in upstreams.iter().filter(|upstream| gateway.is_engine(upstream)) {
             feeds.entry(place(upstream)).or_insert_with_key(|(id, address)| {
                 tokio::spawn(follow(gateway.clone(), id.clone(), *address))
             });
@@ -80,12 +79,6 @@
     }
 }
 
-fn is_engine<D: Dialect, C: Clock>(gateway: &Gateway<D, C>, upstream: &Upstream) -> bool {
-    let policy = gateway.policy();
-    let pool = policy.as_ref().and_then(|policy| policy.pools.get(&upstream.pool));
-    pool.is_some_and(|pool| pool.engine.is_some())
-}
-
 async fn follow<D: Dialect, C: Clock>(
     gateway: Arc<Gateway<D, C>>,
     id: Name,
@@ -115,7 +108,9 @@
 ) -> Result<(), WireError> {
     let late = |_| std::io::Error::from(std::io::ErrorKind::TimedOut);
     let connecting = timeout(CONNECT, TcpStream::connect(address));
-    let stream = connecting.await.map_err(late)??;
+    let connected = connecting.await.map_err(late)?;
+    gateway.sidecars.note(address.ip(), &connected, gateway.clock.now());
+    let stream = connected?;
     set_options(&stream);
     let mut framed = Framed::new(stream, FrameCodec::new());
     let (notices, mut to_tell) = mpsc::channel(NOTICES_AHEAD);
@@ -225,19 +220,16 @@
 ) -> EntryNotice {
     let now = gateway.clock.now();
     let peers = gateway.upstreams.of(&upstream.pool);
-    // Ordered by hash, as the order of addresses would take all servers of one
-    // data centre away at once.
-    let before = peers.iter().filter(|peer| peer.seed < upstream.seed).count();
-    let down = peers.iter().filter(|peer| peer.is_down(now)).count();
+    let place = gateway.rollout_place(upstream);
     let newest = |(model, _): (Name, u64)| {
         gateway.note_weights_seen(&upstream.pool, &model, now);
         let version = gateway.weights.newest(&model).unwrap_or_default();
         ModelVersion { version, model: model.to_string() }
     };
     EntryNotice {
-        position: before as u64,
-        servers: peers.len() as u64,
-        down: down as u64,
+        position: place.position as u64,
+        servers: place.servers as u64,
+        down: place.down as u64,
         newest: upstream.models(now).into_iter().map(newest).collect(),
         prompt_stores: stores_to_follow(gateway, upstream, &peers),
     }
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -31,6 +31,7 @@
 use crate::Policy;
 use crate::PromptStore;
 use crate::PromptStores;
+use crate::SidecarSigns;
 use crate::Upstream;
 use crate::Upstreams;
 
@@ -68,6 +69,8 @@
     pub weights: KnownWeights,
     /// The sidecars that could watch the store for this entry.
     pub hubs: Hubs,
+    /// Which hosts of engines have shown a sidecar.
+    pub sidecars: SidecarSigns,
     pub(crate) pace: Pace,
     pub(crate) readings: Mutex<Readings>,
     pub(crate) lines: LineBudget,
@@ -93,6 +96,7 @@
             stores: PromptStores::default(),
             weights: KnownWeights::default(),
             hubs: Hubs::default(),
+            sidecars: SidecarSigns::default(),
             pace: Pace::default(),
             readings: Mutex::default(),
             lines: LineBudget::default(),
--- a/crates/bilberry-gateway/src/metrics.rs
+++ b/crates/bilberry-gateway/src/metrics.rs
@@ -44,6 +44,12 @@
     pub config_version: Gauge,
     /// Questions to the platform's store for changes, by who was asked and the outcome.
     pub watches: Family<OutcomeLabel, Counter>,
+    /// Engines at whose host no sidecar was ever heard.
+    pub engines_without_sidecar: Gauge,
+    /// Whether this entry orders the weights of those engines, 0 or 1.
+    pub holds_orders: Gauge,
+    /// Orders to those engines, by what they said.
+    pub orders: Family<OutcomeLabel, Counter>,
     /// Objects of the platform's store that were not understood.
     pub unreadable: UnreadableObjects,
     /// Log lines that were dropped.
@@ -65,6 +71,9 @@
             kept_upstreams: Gauge::default(),
             config_version: Gauge::default(),
             watches: Family::default(),
+            engines_without_sidecar: Gauge::default(),
+            holds_orders: Gauge::default(),
+            orders: Family::default(),
             unreadable: UnreadableObjects::default(),
             dropped_lines: Counter::default(),
         };
@@ -91,6 +100,13 @@
         registry.register("config_version", "Configuration in force", version);
         let help = "Questions for changes of the store";
         registry.register("watches", help, self.watches.clone());
+        let without = self.engines_without_sidecar.clone();
+        let help = "Engines at whose host no sidecar was heard";
+        registry.register("engines_without_sidecar", help, without);
+        let holds = self.holds_orders.clone();
+        let help = "Whether this entry orders the weights of those engines";
+        registry.register("holds_orders", help, holds);
+        registry.register("orders", "Orders to load weights", self.orders.clone());
         self.unreadable.register(&mut registry);
         let dropped = self.dropped_lines.clone();
         registry.register("dropped_lines", "Log lines dropped", dropped);
@@ -106,6 +122,11 @@
         self.sends.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts an order to an engine without a sidecar.
+    pub fn count_order(&self, outcome: &'static str) {
+        self.orders.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts a question for changes of the store.
     pub fn count_watch(&self, outcome: &'static str) {
         self.watches.get_or_create(&OutcomeLabel { outcome }).inc();
--- a/crates/bilberry-platform/src/http.rs
+++ b/crates/bilberry-platform/src/http.rs
@@ -15,6 +15,7 @@
 use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
+use hyper::Response;
 use hyper::StatusCode;
 use hyper::header::CONTENT_TYPE;
 use hyper_util::client::legacy::Client;
@@ -100,6 +101,19 @@
         body: Bytes,
         wait_ms: u64,
     ) -> Result<(StatusCode, Bytes), PlatformError> {
+        let answer = self.exchange(method, path, headers, body, wait_ms).await?;
+        Ok((answer.status(), answer.into_body()))
+    }
+
+    /// Makes a call with headers of its own; returns the whole answer.
+    pub async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&'static str, String)],
+        body: Bytes,
+        wait_ms: u64,
+    ) -> Result<Response<Bytes>, PlatformError> {
         self.admit()?;
         let allowed = Duration::from_millis(self.shared.call_ms + wait_ms);
         let sent = self.send(method, path, headers, body);
@@ -108,12 +122,12 @@
             Err(_) => Err("the deadline passed".to_string()),
         };
         match answer {
-            Ok((status, _))
-                if status.is_server_error()
-                    || status == StatusCode::TOO_MANY_REQUESTS =>
+            Ok(answer)
+                if answer.status().is_server_error()
+                    || answer.status() == StatusCode::TOO_MANY_REQUESTS =>
             {
                 self.note_failure();
-                Err(PlatformError::Unclear(format!("status {status}")))
+                Err(PlatformError::Unclear(format!("status {}", answer.status())))
             }
             Ok(answer) => {
                 *self.shared.health.lock().unwrap() = Health::default();
@@ -137,7 +151,7 @@
         path: &str,
         headers: &[(&'static str, String)],
         body: Bytes,
-    ) -> Result<(StatusCode, Bytes), String> {
+    ) -> Result<Response<Bytes>, String> {
         let mut request = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.shared.address));
@@ -150,10 +164,10 @@
         let request = request.body(Full::new(body)).map_err(|error| error.to_string())?;
         let sent = self.shared.client.request(request).await;
         let answer = sent.map_err(|error| error.to_string())?;
-        let status = answer.status();
-        let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
-        let body = body.collect().await.map_err(|error| error.to_string())?;
-        Ok((status, body.to_bytes()))
+        let (head, body) = answer.into_parts();
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+        let body = body.map_err(|error| error.to_string())?;
+        Ok(Response::from_parts(head, body.to_bytes()))
     }
 
     /// Refuses a call at once while the platform is known to be down.
--- a/crates/bilberry-steward/src/lib.rs
+++ b/crates/bilberry-steward/src/lib.rs
@@ -1,11 +1,13 @@
 //! The sidecar of one engine.
 //!
 //! It asks its engine how it fares, tells the entries, and brings the engine to
-//! the newest weights. It alone gives orders to its engine, so no two can race.
+//! the newest weights. It alone gives orders to its engine as long as it runs, so no two
+//! can race.
 
 mod cache;
 mod engine;
 mod feed;
+mod first_order;
 mod metrics;
 mod newest;
 mod prompt_stores;
@@ -24,6 +26,7 @@
 pub use engine::SwapMode;
 pub use feed::Feed;
 pub use feed::serve_feed;
+pub use first_order::FirstOrder;
 pub use metrics::StewardMetrics;
 pub use newest::Newest;
 pub use prompt_stores::FollowedStore;
--- a/crates/bilberry-steward/src/steward.rs
+++ b/crates/bilberry-steward/src/steward.rs
@@ -8,6 +8,7 @@
 use bilberry_core::Rollout;
 use bilberry_core::Told;
 use bilberry_core::UnixMs;
+use bilberry_core::sidecar_fence;
 use bilberry_wire::ModelVersion;
 use bilberry_wire::UpstreamState;
 use tokio::sync::watch;
@@ -17,6 +18,7 @@
 use crate::CacheView;
 use crate::Engine;
 use crate::EngineReport;
+use crate::FirstOrder;
 use crate::LoadOrder;
 use crate::Newest;
 use crate::OrderReply;
@@ -57,6 +59,7 @@
     weights_bound_ms: Option<u64>,
     newest: Arc<Newest>,
     cache: Arc<CacheView>,
+    first_order: Arc<FirstOrder>,
     state: watch::Sender<EngineState>,
     /// Counters and gauges.
     pub metrics: StewardMetrics,
@@ -128,11 +131,17 @@
             weights_bound_ms,
             newest,
             cache,
+            first_order: Arc::default(),
             state: watch::Sender::default(),
             metrics: StewardMetrics::new(),
         }
     }
 
+    /// Gives no order before `first_order` allows it.
+    pub fn after(self, first_order: Arc<FirstOrder>) -> Self {
+        Self { first_order, ..self }
+    }
+
     /// Returns the engine's state, as it changes.
     pub fn state(&self) -> watch::Receiver<EngineState> {
         self.state.subscribe()
@@ -245,6 +254,7 @@
             let weights = ModelVersion { model: has.model.clone(), version };
             let planned_at = progress.rollout.starts_at(since, self.newest.place());
             let starts_at = planned_at.max(progress.not_before);
+            let starts_at = starts_at.max(self.first_order.allowed_at());
             Some(Due { weights, planned_at, starts_at, lacking_since: since })
         };
         report.models.iter().find_map(lacking)
@@ -302,7 +312,7 @@
             holder: self.holder.clone(),
             // Versions only grow, also over restarts of this process, which
             // keeps nothing; so the number never falls.
-            fencing_number: due.weights.version,
+            fencing_number: sidecar_fence(due.weights.version),
             expected_orders: report.orders,
             incarnation: progress.incarnation,
         };
--- a/crates/bilberryd/src/hosted.rs
+++ b/crates/bilberryd/src/hosted.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bilberry_adapter::Claims;
 use bilberry_adapter::ConfigFollower;
 use bilberry_adapter::HostRole;
 use bilberry_adapter::HostSettings;
@@ -13,13 +14,18 @@
 use bilberry_adapter::HttpEngine;
 use bilberry_adapter::NamedWeightsFollower;
 use bilberry_adapter::NoHubs;
+use bilberry_adapter::ORDER_MS;
 use bilberry_adapter::ObjectStore;
+use bilberry_adapter::OrderSettings;
 use bilberry_adapter::PlatformDialect;
 use bilberry_adapter::WeightsFollower;
+use bilberry_adapter::allow_first_order;
 use bilberry_adapter::follow;
 use bilberry_adapter::keep_reach;
+use bilberry_adapter::order_unattended;
 use bilberry_core::BootClock;
 use bilberry_core::BudgetTerms;
+use bilberry_core::Clock;
 use bilberry_gateway::Gateway;
 use bilberry_gateway::GatewaySettings;
 use bilberry_gateway::follow_prompt_stores;
@@ -30,6 +36,7 @@
 use bilberry_node::bind;
 use bilberry_steward::CacheView;
 use bilberry_steward::Feed;
+use bilberry_steward::FirstOrder;
 use bilberry_steward::Newest;
 use bilberry_steward::PromptStores;
 use bilberry_steward::Steward;
@@ -154,6 +161,17 @@
     tokio::spawn(follow(store.clone(), gateway.clone(), clock, weights));
     tokio::spawn(keep_reach(store, gateway.clone()));
     tokio::spawn(follow_sidecars(gateway.clone(), settings.peers_port));
+    if let Some(lease_ms) = settings.lease_ms {
+        let terms = OrderSettings {
+            own: settings.host.clone(),
+            lease_ms,
+            settle_ms: settings.settle_ms,
+            sidecar_port: settings.peers_port,
+            weights_bound_ms: settings.weights_bound_ms,
+        };
+        let claims = Claims::new(settings.store);
+        tokio::spawn(order_unattended(claims, gateway.clone(), terms));
+    }
     tokio::spawn(follow_prompt_stores(gateway.clone()));
     let listener = bind("callers", callers).await?;
     let server = GracefulServer::start(listener, CALLERS, gateway.clone());
@@ -185,6 +203,10 @@
     let newest = Arc::new(Newest::default());
     let holder = settings.host.to_string();
     let cache = Arc::new(CacheView::new());
+    // Bound first: from then on no entry orders this engine.
+    let feed = bind("peers", SocketAddr::new(settings.bind, settings.peers_port)).await?;
+    let apart_ms = settings.lease_ms.map_or(0, |lease_ms| lease_ms + ORDER_MS);
+    let first_order = Arc::new(FirstOrder::at(clock.now().plus_ms(apart_ms)));
     // A client of its own: a question for events that waits must not hold up the
     // questions that show whether the engine lives.
     tokio::spawn(cache.clone().follow(HttpEngine::new(engine)));
@@ -196,13 +218,14 @@
         newest.clone(),
         cache.clone(),
     );
-    let steward = Arc::new(steward);
+    let steward = Arc::new(steward.after(first_order.clone()));
+    let claims = Claims::new(settings.store);
+    tokio::spawn(allow_first_order(claims, clock, steward.state(), first_order));
     let unreadable = steward.metrics.unreadable.clone();
     let weights = WeightsFollower { newest: newest.clone(), clock, unreadable };
     let store = ObjectStore::new(settings.store);
     tokio::spawn(follow(store.clone(), NoHubs, clock, weights));
     let hub = Arc::new(WatchHub::new(store, clock));
-    let feed = bind("peers", SocketAddr::new(settings.bind, settings.peers_port)).await?;
     let status = Arc::new(StatusPage { process: steward.clone() });
     let _metrics = serve_metrics(&settings, status).await?;
     let stores = PromptStores::new(HttpEngine::new);
