An engine that its sidecar hears is not asked to stop a slow run

Found by reading: which of two timers of one length ended first decided, so every other silent stream at a live engine was moved away from it, under load to one that is as busy. What becomes of a stream that broke off as it was being stopped has a function of its own.

--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -209,14 +209,7 @@
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 end => {
                     let passed = end_of_stream(end, splitter, is_framed || !was_asked);
-                    return match (passed, ending.is_terminated()) {
-                        (Passed::Broken { reason, .. }, false) => {
-                            run.inspect(|run| run.note_stream_closed());
-                            let first_run = stopped(ending).await;
-                            Passed::Broken { reason, first_run }
-                        }
-                        (passed, _) => passed,
-                    };
+                    return wait_for_stop(passed, run, ending).await;
                 }
             };
             if !was_asked {
@@ -249,8 +242,10 @@
         let is_followed = || run.upstream.is_followed(self.clock.now());
         loop {
             tokio::select! {
-                _ = sleep(silence), if is_followed() => {}
-                _ = sleep(silence) => break,
+                _ = sleep(silence) => match is_followed() {
+                    true => continue,
+                    false => break,
+                },
                 _ = lost_and_silent(&run.upstream) => break,
             }
         }
@@ -302,13 +297,22 @@
     }
 }
 
-/// Waits for what becomes of a run that was asked to stop and whose stream has ended.
+/// Waits for what becomes of a run that is being stopped and whose stream broke off.
 ///
 /// A run that stops closes its stream first; its memory is moved after that.
-async fn stopped(
+async fn wait_for_stop(
+    passed: Passed,
+    run: Option<&DoubtfulRun>,
     ending: Pin<&mut Fuse<impl Future<Output = FirstRun>>>,
-) -> Option<FirstRun> {
-    timeout(STOP_ANSWER, ending).await.ok()
+) -> Passed {
+    match passed {
+        Passed::Broken { reason, .. } if !ending.is_terminated() => {
+            run.inspect(|run| run.note_stream_closed());
+            let first_run = timeout(STOP_ANSWER, ending).await.ok();
+            Passed::Broken { reason, first_run }
+        }
+        passed => passed,
+    }
 }
 
 /// Reports whether an answer is an event stream.
