An engine that does not say what became of a run is asked ever less often

Found by reading: each call in vain doubled how long the next is waited for, without a bound, so an engine that closed such connections at once was asked 20 times a second, and after 64 calls the entry's task would have ended on an overflow. Both waits are bounded now.

--- a/crates/bilberry-gateway/src/stopping.rs
+++ b/crates/bilberry-gateway/src/stopping.rs
@@ -32,14 +32,18 @@
 
 /// How long an answer to the call that stops a run is waited for.
 ///
-/// It comes once the run's memory is moved, some tens of milliseconds. Twice as long is
-/// waited after each call that was in vain, so that those to an engine that stands still
-/// do not fill its queue of connections.
+/// It comes once the run's memory is moved, some tens of milliseconds.
 pub(crate) const STOP_ANSWER: Duration = Duration::from_secs(1);
 
+/// The longest that an answer to such a call is waited for.
+const MOST_STOP_ANSWER: Duration = Duration::from_secs(8);
+
 /// How long to wait between two calls.
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// The longest wait between two calls.
+const MOST_PAUSE: Duration = Duration::from_millis(400);
+
 /// The longest answer to such a call that is read.
 const MAX_ANSWER_BYTES: usize = 64 * 1_024;
 
@@ -80,24 +84,45 @@
     }
 }
 
+/// How patiently an engine is asked to stop a run.
+///
+/// Each wait is twice as long after a call in vain, so that the calls to an engine that
+/// stands still do not fill its queue of connections, nor burden one that does not say
+/// what became of the run.
+struct Patience {
+    answer_within: Duration,
+    pause: Duration,
+}
+
+impl Patience {
+    fn new() -> Self {
+        Self { answer_within: STOP_ANSWER, pause: PAUSE }
+    }
+
+    fn after_a_call_in_vain(&mut self) {
+        self.answer_within = (self.answer_within * 2).min(MOST_STOP_ANSWER);
+        self.pause = (self.pause * 2).min(MOST_PAUSE);
+    }
+}
+
 impl<D: Dialect, C: Clock> Gateway<D, C> {
     /// Returns once a run is over where it began, however long that takes.
     pub(crate) async fn end_run(&self, run: &DoubtfulRun) -> FirstRun {
         let began_at = self.clock.now();
         let mut reaching = Reaching::default();
-        let mut answer_within = STOP_ANSWER;
+        let mut patience = Patience::new();
         loop {
-            let ended = self.try_to_end(run, &mut reaching, answer_within).await;
+            let ended = self.try_to_end(run, &mut reaching, &patience).await;
             if let Some(first_run) = ended {
                 let took_ms = self.clock.now().ms_since(began_at);
                 log_end(run, &first_run, took_ms);
                 return first_run;
             }
             run.upstream.note_failure(self.clock.now());
+            sleep(patience.pause).await;
             if run.was_asked_to_stop() {
-                answer_within *= 2;
+                patience.after_a_call_in_vain();
             }
-            sleep(PAUSE).await;
         }
     }
 
@@ -105,7 +130,7 @@
         &self,
         run: &DoubtfulRun,
         reaching: &mut Reaching,
-        answer_within: Duration,
+        patience: &Patience,
     ) -> Option<FirstRun> {
         if run.upstream.has_ended() {
             return Some(FirstRun::Over(RunEnd::StartedAnew));
@@ -122,7 +147,8 @@
         match (reaching.note(reach, sidecar, stream_is_open), connected) {
             (Some(end), _) => Some(FirstRun::Over(end)),
             (None, Ok(connection)) if run.can_be_stopped => {
-                timeout(answer_within, self.stop_run(run, connection)).await.ok()?
+                let stopping = self.stop_run(run, connection);
+                timeout(patience.answer_within, stopping).await.ok()?
             }
             (None, _) => None,
         }
