Each era of the store has a claim of its own on the orders of engines without a sidecar

A renewal that was carried out after the store came back from an older copy met its revision given out again and put an older claim back in place of the one of the new era; whoever took that over used a term that had been used.

--- a/crates/bilberry-core/src/order_lease.rs
+++ b/crates/bilberry-core/src/order_lease.rs
@@ -43,6 +43,12 @@
 /// A claim that is to be written on condition.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ClaimWrite {
+    /// The era whose claim it is.
+    ///
+    /// Each era of the store has a claim of its own. Carried out late, after the store
+    /// came back from an older copy, a write may meet a revision that was given out
+    /// again; it must not replace the claim of one who holds it in the new era.
+    pub era: u64,
     /// What is to stand there.
     pub claim: OrderClaim,
     /// The revision that it replaces; zero if there must be none.
@@ -204,7 +210,7 @@
         match outcome {
             WriteOutcome::Written(seen) => {
                 self.note_tenure(&seen);
-                self.written(write.claim, seen, asked_at, now);
+                self.written(write.claim, seen, asked_at);
             }
             WriteOutcome::Conflict(seen) => {
                 self.note_tenure(&seen);
@@ -220,22 +226,16 @@
         }
     }
 
-    fn written(
-        &mut self,
-        claim: OrderClaim,
-        seen: SeenClaim,
-        asked_at: UnixMs,
-        now: UnixMs,
-    ) {
+    fn written(&mut self, claim: OrderClaim, seen: SeenClaim, asked_at: UnixMs) {
         let known_era = match &self.standing {
             Standing::Holds(held) => Some(held.seen.era),
             Standing::Contends { seen, .. } => Some(seen.era),
             _ => None,
         };
-        // The store came back from an older copy in between. Revisions are given out
-        // twice, so the write may have replaced the claim of one who orders by it.
+        // The store came back from an older copy in between: what was written is the
+        // claim of an era that is over.
         if known_era != Some(seen.era) {
-            self.standing = Standing::Contends { seen, since: now };
+            self.standing = Standing::Doubts;
             return;
         }
         let renew_ms = self.terms.lease_ms / RENEWALS_PER_LEASE;
@@ -266,7 +266,7 @@
     fn takeover(&self, seen: &SeenClaim) -> ClaimWrite {
         let claim =
             OrderClaim { holder: self.own.clone(), term: self.last.term + 1, renewal: 0 };
-        ClaimWrite { claim, expected_revision: seen.revision }
+        ClaimWrite { era: seen.era, claim, expected_revision: seen.revision }
     }
 
     fn note_tenure(&mut self, seen: &SeenClaim) {
@@ -281,6 +281,7 @@
         let next =
             || OrderClaim { renewal: self.claim.renewal + 1, ..self.claim.clone() };
         ClaimWrite {
+            era: self.seen.era,
             claim: self.unclear.clone().unwrap_or_else(next),
             expected_revision: self.seen.revision,
         }
--- a/crates/bilberry-core/tests/order_lease.rs
+++ b/crates/bilberry-core/tests/order_lease.rs
@@ -26,17 +26,21 @@
 /// How long one run lasts.
 const RUN_MS: u64 = 120_000;
 
-/// A store with one claim.
+/// A store with one claim for each era.
 #[derive(Debug, Clone, Default)]
 struct Store {
     era: u64,
     revision: u64,
-    claim: Option<(u64, OrderClaim)>,
+    claims: HashMap<u64, (u64, OrderClaim)>,
 }
 
 impl Store {
     fn seen(&self) -> SeenClaim {
-        let (revision, claim) = match &self.claim {
+        self.seen_of(self.era)
+    }
+
+    fn seen_of(&self, era: u64) -> SeenClaim {
+        let (revision, claim) = match self.claims.get(&era) {
             Some((revision, claim)) => (*revision, Some(claim.clone())),
             None => (0, None),
         };
@@ -44,12 +48,13 @@
     }
 
     fn write(&mut self, write: &ClaimWrite) -> WriteOutcome {
-        if self.seen().revision != write.expected_revision {
-            return WriteOutcome::Conflict(self.seen());
+        let seen = self.seen_of(write.era);
+        if seen.revision != write.expected_revision {
+            return WriteOutcome::Conflict(seen);
         }
         self.revision += 1;
-        self.claim = Some((self.revision, write.claim.clone()));
-        WriteOutcome::Written(self.seen())
+        self.claims.insert(write.era, (self.revision, write.claim.clone()));
+        WriteOutcome::Written(self.seen_of(write.era))
     }
 }
 
@@ -430,8 +435,8 @@
 #[test]
 fn a_write_that_meets_a_revision_given_out_twice_gives_no_right() {
     // Two holders would order within a lease time. An entry reads the claim at revision
-    // 8; the store comes back from an older copy, somebody else's claim gets revision 8
-    // there, and the entry's conditional write replaces it.
+    // 8; the store comes back from an older copy, and the entry's conditional write is
+    // carried out there. What it wrote is the claim of the era that is over.
     let now = UnixMs(50_000);
     let mut lease = OrderLease::new("entry-a".into(), TERMS, now);
     let none = SeenClaim { era: 3, revision: 0, claim: None };
@@ -442,10 +447,15 @@
     lease.read(theirs, now);
     let take_at = now.plus_ms(TERMS.takeover_ms());
     let LeaseTask::Write(write) = lease.task(take_at) else { panic!("it takes over") };
-    assert_eq!(write, ClaimWrite { claim: claim("entry-a", 5), expected_revision: 8 });
+    let expected =
+        ClaimWrite { era: 3, claim: claim("entry-a", 5), expected_revision: 8 };
+    assert_eq!(write, expected);
     let ours = SeenClaim { era: 4, revision: 9, claim: Some(write.claim.clone()) };
     lease.wrote(write, take_at, WriteOutcome::Written(ours), take_at);
     assert_eq!(lease.tenure(take_at), None);
+    // It reads the claim of the new era, and waits as anybody does.
+    assert_eq!(lease.task(take_at), LeaseTask::Read);
+    lease.read(SeenClaim { era: 4, revision: 0, claim: None }, take_at);
     let wait = LeaseTask::Wait(take_at.plus_ms(TERMS.takeover_ms()));
     assert_eq!(lease.task(take_at), wait);
 }
