An engine is in doubt only if its sidecar was heard before

An entry that starts can't connect to the sidecars of hosts without power; that put their engines in doubt, which is meant for an open connection that falls silent.

--- a/crates/bilberry-gateway/src/feeds.rs
+++ b/crates/bilberry-gateway/src/feeds.rs
@@ -88,7 +88,7 @@
         let outcome = listen(&gateway, &id, address, &mut told).await;
         if let Some(upstream) = gateway.upstreams.get(&id) {
             upstream.forget_feed();
-            if outcome.as_ref().is_err_and(is_silence) {
+            if told && outcome.as_ref().is_err_and(is_silence) {
                 upstream.doubt();
             }
         }
