Log the key of each request, and the runs in progress at a crash

A caller whose request came again could not be recognised in the logs: the attempt's id is new each time. Nothing said either that a run broke off because its server ended.

--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -182,6 +182,7 @@
         };
         job.sends += 1;
         let now = self.clock.now();
+        job.sent_at = now;
         let repeatable = job.route.kind.is_repeatable();
         let may_repeat = job.may_run_after(job.runs + 1);
         let left = job.deadline.left(now);
@@ -204,6 +205,7 @@
             }
             Err(SendError::Unanswered(_)) => {
                 upstream.note_failure(self.clock.now());
+                self.record_interrupted_run(job, &upstream);
                 self.connections.drop_idle(upstream.address);
                 Sent::Unclear("no_answer")
             }
@@ -223,9 +225,17 @@
         let request = self.request(job, &seat, last_event, Some(copy));
         let mut connection = self.connections.get(upstream.address, true).await.ok()?;
         job.sends += 1;
-        let left = job.deadline.left(self.clock.now());
+        job.sent_at = self.clock.now();
+        let left = job.deadline.left(job.sent_at);
         let sent = timeout(left, connection.send(request)).await.ok()?;
-        match self.judge(job, sent.ok()?, connection, seat) {
+        let response = match sent {
+            Ok(response) => response,
+            Err(_) => {
+                self.record_interrupted_run(job, &upstream);
+                return None;
+            }
+        };
+        match self.judge(job, response, connection, seat) {
             Sent::Answered(answer) => Some(*answer),
             _ => None,
         }
--- a/crates/bilberry-gateway/src/job.rs
+++ b/crates/bilberry-gateway/src/job.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 
 use bilberry_core::Demand;
+use bilberry_core::RequestKey;
 use bilberry_core::UnixMs;
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Uri;
+use hyper::header::HOST;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::Call;
@@ -41,6 +43,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// What each attempt of the request has in common, once the body is read.
+    pub key: RequestKey,
     /// When the request's head was read.
     pub arrived_at: UnixMs,
     /// When the caller's patience, or the route's, ends.
@@ -49,6 +53,8 @@
     pub tried: Vec<Arc<Upstream>>,
     /// How often it was sent.
     pub sends: u32,
+    /// When it was last sent.
+    pub sent_at: UnixMs,
     /// How many of these sends may have run.
     pub runs: u32,
     /// The upstream that keeps a copy of its memory.
@@ -110,6 +116,20 @@
         self.route.kind.is_repeatable() && runs < self.route.max_attempts
     }
 
+    /// Returns the key of its customer, method, host, path, query and body.
+    pub fn compute_key(&self) -> RequestKey {
+        let customer = self.customer.as_ref().map_or("", |customer| &customer.name);
+        let host = self.headers.get(HOST).map_or(&[][..], |host| host.as_bytes());
+        let path = self.uri.path_and_query().map_or("", |path| path.as_str());
+        RequestKey::of(&[
+            customer.as_bytes(),
+            self.method.as_str().as_bytes(),
+            host,
+            path.as_bytes(),
+            &self.body,
+        ])
+    }
+
     /// Returns what requests with the same shared prompt have in common.
     pub fn affinity(&self) -> u64 {
         let part = self.call.shared_parts().last().map(|part| part.id);
--- a/crates/bilberry-gateway/src/lib.rs
+++ b/crates/bilberry-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod backup;
 mod call;
 mod connections;
+mod crashes;
 mod dispatch;
 mod feeds;
 mod forward;
--- a/crates/bilberry-gateway/src/metrics.rs
+++ b/crates/bilberry-gateway/src/metrics.rs
@@ -31,6 +31,8 @@
     pub requests: Family<OutcomeLabel, Counter>,
     /// Sends to upstreams by outcome.
     pub sends: Family<OutcomeLabel, Counter>,
+    /// Runs that were in progress at an upstream when it crashed.
+    pub crashed_runs: Counter,
     /// Time until the first byte of an answer.
     pub first_byte_seconds: Histogram,
     /// Time that requests waited for an upstream with room.
@@ -67,6 +69,7 @@
             registry: Mutex::new(Registry::with_prefix("bilberry")),
             requests: Family::default(),
             sends: Family::default(),
+            crashed_runs: Counter::default(),
             first_byte_seconds: histogram(),
             wait_seconds: histogram(),
             resumed: Counter::default(),
@@ -89,6 +92,8 @@
         let mut registry = self.registry.lock().unwrap();
         registry.register("requests", "Requests by outcome", self.requests.clone());
         registry.register("sends", "Sends to upstreams", self.sends.clone());
+        let help = "Runs in progress at an upstream when it crashed";
+        registry.register("crashed_runs", help, self.crashed_runs.clone());
         let first = self.first_byte_seconds.clone();
         registry.register("first_byte_seconds", "Time until the first byte", first);
         let wait = self.wait_seconds.clone();
--- a/crates/bilberry-gateway/src/plain_answer.rs
+++ b/crates/bilberry-gateway/src/plain_answer.rs
@@ -46,6 +46,7 @@
         let is_whole = match timeout(left, reading).await {
             Ok(Ok(is_whole)) => is_whole,
             Ok(Err(error)) => {
+                self.record_interrupted_run(job, &answer.seat.upstream);
                 job.detail = format!("the answer broke off: {error}");
                 return Err(Refusal::Unanswered);
             }
@@ -107,7 +108,10 @@
             };
             next = match frame {
                 None => return Ended::Whole,
-                Some(Err(_)) => return Ended::Broken("broke off"),
+                Some(Err(_)) => {
+                    self.record_interrupted_run(job, &answer.seat.upstream);
+                    return Ended::Broken("broke off");
+                }
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
         }
--- a/crates/bilberry-gateway/src/record.rs
+++ b/crates/bilberry-gateway/src/record.rs
@@ -54,6 +54,7 @@
     log::info!(
         target: "request",
         request = job.call.attempt.as_str(),
+        key = job.key.to_string().as_str(),
         route = job.route.name.as_str(),
         customer = job.customer.as_ref().map_or("", |customer| customer.name.as_str()),
         config = job.config_version,
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -49,6 +49,9 @@
 /// The word for a stream that fell silent and whose run is over where it began.
 const SILENT: &str = "silent, over there";
 
+/// The word for a stream that fell silent and whose run may go on where it began.
+const NO_EVENT: &str = "silent";
+
 /// The silence after which a stream without a stated pause is resumed.
 const DEFAULT_SILENCE_MS: u64 = 1_000;
 
@@ -125,6 +128,9 @@
             };
             let upstream = answer.seat.upstream.clone();
             upstream.note_failure(self.clock.now());
+            if reason != SILENT && reason != NO_EVENT {
+                self.record_interrupted_run(job, &upstream);
+            }
             job.runs += 1;
             job.detail = reason.to_string();
             // Closed before another upstream goes on: a run that can be repeated ends
@@ -191,7 +197,7 @@
                 frame = answer.response.body_mut().frame() => frame,
                 _ = pieces.closed() => return Passed::Done(Ended::CallerLeft),
                 _ = sleep(left) => return Passed::Done(Ended::Expired),
-                _ = sleep(silence), if may_resume => return Passed::unclear("silent"),
+                _ = sleep(silence), if may_resume => return Passed::unclear(NO_EVENT),
                 _ = lost_and_silent(&upstream), if may_resume => {
                     return Passed::unclear("lost");
                 }
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -5,6 +5,7 @@
 use bilberry_core::Clock;
 use bilberry_core::Name;
 use bilberry_core::Repeat;
+use bilberry_core::RequestKey;
 use bilberry_core::UnixMs;
 use bilberry_node::ClientTimes;
 use bilberry_node::HttpHandler;
@@ -72,6 +73,7 @@
             Ok(body) => body,
             Err(refusal) => return self.refuse_early(&job.call.attempt, &refusal),
         };
+        job.key = job.compute_key();
         self.count_request(&job.pool.name);
         let mut caller = CallerGuard { gateway: self.clone(), job: Some(job) };
         let outcome = caller.serve().await;
@@ -141,10 +143,12 @@
             uri: head.uri,
             headers: head.headers,
             body: Default::default(),
+            key: RequestKey(0),
             arrived_at,
             deadline,
             tried: Vec::new(),
             sends: 0,
+            sent_at: arrived_at,
             runs: 0,
             backup: None,
             weights: None,
