A request that crashes its servers is rejected after the third crash, at all entries

Cause: the end of a server was held against the server alone. No part of the system remembered which request had run there, so each arrival was placed like a new one, sent on to a second server after the first had crashed, and judged by one entry's few sends.

Now each entry keeps a ledger of crashes by request (a hash of customer, method, host, path, query and body). A run counts if its connection ended early and its upstream is confirmed to have crashed. Reports form a set that only grows (unknown, counted, void), so a few sidecars relay them in any order and repeat them to entries that connect later; an entry repeats quarantines to sidecars that start again. From two crashes on a request is sent once an attempt, where least else runs; from three on it is rejected at once with 503 and the end of the quarantine as Retry-After: it earns nothing, a 4xx would state a fault of the request that three crashes only suggest, and 'not run' is true for the attempt. A request that has run to its end acquits itself of the crashes known by then.

Property tests: reports in any order and number lead to the same ledger; fewer than three servers reject nothing.

--- a/crates/bilberry-core/src/lib.rs
+++ b/crates/bilberry-core/src/lib.rs
@@ -7,6 +7,7 @@
 mod breaker;
 mod chain;
 mod claim;
+mod crash_ledger;
 mod cursor;
 mod departures;
 mod entry_count;
@@ -54,6 +55,10 @@
 pub use claim::ClaimState;
 pub use claim::RecordedAnswer;
 pub use claim::RepeatVerdict;
+pub use crash_ledger::CrashLedger;
+pub use crash_ledger::CrashReport;
+pub use crash_ledger::ServedRequests;
+pub use crash_ledger::Standing;
 pub use cursor::Accept;
 pub use cursor::StreamCursor;
 pub use departures::Departures;
--- /dev/null
+++ b/crates/bilberry-core/tests/crash_ledger.rs
@@ -0,0 +1,145 @@
+//! What crashes of servers say of the requests that ran there.
+
+use bilberry_core::CrashLedger;
+use bilberry_core::CrashReport;
+use bilberry_core::RequestKey;
+use bilberry_core::ServedRequests;
+use bilberry_core::Standing;
+use bilberry_core::UnixMs;
+use proptest::collection::vec;
+use proptest::prelude::any;
+use proptest::prelude::prop_assert;
+use proptest::prelude::prop_assert_eq;
+use proptest::proptest;
+use proptest::strategy::Strategy;
+
+const NOW: UnixMs = UnixMs(1_000_000);
+
+fn crash(request: u64, server: u64) -> CrashReport {
+    CrashReport { request: RequestKey(request), server, is_void: false }
+}
+
+fn report() -> impl Strategy<Value = CrashReport> {
+    (0..4u64, 0..6u64, any::<bool>()).prop_map(|(request, server, is_void)| CrashReport {
+        is_void,
+        ..crash(request, server)
+    })
+}
+
+fn ledger(reports: &[CrashReport]) -> CrashLedger {
+    let mut ledger = CrashLedger::default();
+    reports.iter().for_each(|report| {
+        ledger.merge(*report, NOW);
+    });
+    ledger
+}
+
+fn sorted(ledger: &CrashLedger) -> Vec<(RequestKey, u64, bool)> {
+    let reports = ledger.reports().into_iter();
+    let mut reports: Vec<_> = reports.map(|r| (r.request, r.server, r.is_void)).collect();
+    reports.sort_unstable();
+    reports
+}
+
+fn is_quarantined(ledger: &CrashLedger, request: u64, now: UnixMs) -> bool {
+    matches!(ledger.standing(RequestKey(request), now), Standing::Quarantined { .. })
+}
+
+#[test]
+fn a_request_is_rejected_from_its_third_crash_on() {
+    let mut ledger = CrashLedger::default();
+    let standings = (0..3).map(|server| {
+        ledger.merge(crash(1, server), NOW);
+        ledger.standing(RequestKey(1), NOW)
+    });
+    let standings: Vec<_> = standings.collect();
+    assert_eq!(standings[..2], [Standing::Good, Standing::Suspect]);
+    assert!(matches!(standings[2], Standing::Quarantined { until } if until > NOW));
+}
+
+#[test]
+fn two_witnesses_of_one_crash_count_once() {
+    let ledger = ledger(&[crash(1, 7), crash(1, 7), crash(1, 7)]);
+    assert_eq!(ledger.standing(RequestKey(1), NOW), Standing::Good);
+}
+
+#[test]
+fn a_request_that_ran_to_its_end_is_not_blamed_for_crashes_before() {
+    let mut ledger = ledger(&[crash(1, 1), crash(1, 2), crash(1, 3)]);
+    assert_eq!(ledger.acquit(RequestKey(1)).len(), 3);
+    assert_eq!(ledger.standing(RequestKey(1), NOW), Standing::Good);
+    assert!(!ledger.merge(crash(1, 2), NOW), "a late witness of a void crash");
+    (4..7).for_each(|server| {
+        ledger.merge(crash(1, server), NOW);
+    });
+    assert!(is_quarantined(&ledger, 1, NOW));
+}
+
+#[test]
+fn one_more_crash_after_a_quarantine_rejects_the_request_again() {
+    let mut ledger = ledger(&[crash(1, 1), crash(1, 2), crash(1, 3)]);
+    let Standing::Quarantined { until } = ledger.standing(RequestKey(1), NOW) else {
+        panic!("it is in quarantine");
+    };
+    assert_eq!(ledger.standing(RequestKey(1), until), Standing::Suspect);
+    ledger.merge(crash(1, 4), until);
+    assert!(is_quarantined(&ledger, 1, until));
+}
+
+#[test]
+fn a_flood_of_other_requests_ends_no_quarantine() {
+    let mut ledger = ledger(&[crash(1, 1), crash(1, 2), crash(1, 3)]);
+    for request in 2..100_000 {
+        ledger.merge(crash(request, 1), NOW.plus_ms(request / 100));
+    }
+    assert!(is_quarantined(&ledger, 1, NOW));
+    assert!(ledger.reports().len() < 40_000);
+}
+
+#[test]
+fn a_request_counts_as_served_for_ten_seconds() {
+    let mut served = ServedRequests::default();
+    served.record(RequestKey(1), NOW);
+    served.record(RequestKey(2), NOW.plus_ms(9_000));
+    served.record(RequestKey(3), NOW.plus_ms(11_000));
+    let contains = |request| served.contains(RequestKey(request), NOW.plus_ms(11_000));
+    assert_eq!([1, 2, 3].map(contains), [false, true, true]);
+}
+
+proptest! {
+    #[test]
+    fn reports_in_any_order_and_number_lead_to_the_same_ledger(
+        reports in vec(report(), 0..40),
+        repeated in vec(0..40usize, 0..20),
+        rotation in 0..40usize,
+    ) {
+        let mut shuffled = reports.clone();
+        let again = repeated.iter().filter_map(|at| reports.get(*at));
+        shuffled.extend(again);
+        if !shuffled.is_empty() {
+            let at = rotation % shuffled.len();
+            shuffled.rotate_left(at);
+            shuffled.reverse();
+        }
+        prop_assert_eq!(sorted(&ledger(&reports)), sorted(&ledger(&shuffled)));
+    }
+
+    #[test]
+    fn a_relayed_ledger_judges_as_the_one_it_came_from(reports in vec(report(), 0..40)) {
+        let first = ledger(&reports);
+        let second = ledger(&first.reports());
+        for request in 0..4 {
+            let key = RequestKey(request);
+            prop_assert_eq!(first.standing(key, NOW), second.standing(key, NOW));
+        }
+    }
+
+    #[test]
+    fn nothing_is_rejected_for_fewer_than_three_servers(
+        reports in vec((0..4u64, 0..2u64), 0..40),
+    ) {
+        let reports: Vec<_> = reports.iter().map(|(r, s)| crash(*r, *s)).collect();
+        let ledger = ledger(&reports);
+        prop_assert!((0..4).all(|request| !is_quarantined(&ledger, request, NOW)));
+    }
+}
--- a/crates/bilberry-gateway/src/backup.rs
+++ b/crates/bilberry-gateway/src/backup.rs
@@ -77,7 +77,7 @@
     /// `None` if there is no copy, and if the run may still go on at the first engine when
     /// the caller's time is over.
     pub(crate) async fn resume_from_backup(
-        &self,
+        self: &Arc<Self>,
         job: &mut Job,
         last_event: Option<u64>,
         upstream: &Arc<Upstream>,
@@ -118,6 +118,7 @@
         let obstacle = match () {
             _ if barred => Some("the copy's engine has older weights"),
             _ if backup.is_leaving() => Some("the copy's engine leaves or is gone"),
+            _ if self.is_suspect(job) => Some("it may crash the next engine as well"),
             _ if !self.may_repeat(&job.pool.name, Repeat::GoOn) => {
                 Some("no repeats are left")
             }
--- a/crates/bilberry-gateway/src/feeds.rs
+++ b/crates/bilberry-gateway/src/feeds.rs
@@ -120,13 +120,17 @@
     let stream = connected?;
     set_options(&stream);
     let mut framed = Framed::new(stream, FrameCodec::new());
-    let (notices, mut to_tell) = mpsc::channel(NOTICES_AHEAD);
+    let (queue, mut queued) = mpsc::channel(NOTICES_AHEAD);
     let (questions, mut to_ask) = mpsc::channel(QUESTIONS_AHEAD);
     let mut asked = Asked::default();
     let mut joined = None;
     let mut noticed = None;
     let mut silent_at = Instant::now() + SILENCE;
     let mut followed: Option<Arc<Upstream>> = None;
+    // A sidecar that started again knows of no crash.
+    if let Some(notice) = gateway.crashes.notice(gateway.clock.now()) {
+        framed.send(Frame { body: Some(notice), ..Frame::default() }).await?;
+    }
     loop {
         // Looked up each time, as another incarnation may have taken its place.
         let Some(upstream) = gateway.upstreams.get(id) else { return Ok(()) };
@@ -134,7 +138,7 @@
         if before.is_some_and(|before| was_listed_anew(&before, &upstream)) {
             return Ok(());
         }
-        upstream.tell_by(notices.clone());
+        upstream.set_sidecar_queue(queue.clone());
         let notice = notice(gateway, &upstream);
         if noticed.as_ref() != Some(&notice) {
             gateway.stores.forget_teller(id, &notice.prompt_stores);
@@ -144,8 +148,7 @@
         }
         let frame = tokio::select! {
             frame = timeout_at(silent_at, framed.next()) => frame.map_err(late)?,
-            Some(notice) = to_tell.recv() => {
-                let body = Some(Body::ReadingNotice(notice));
+            body = queued.recv() => {
                 framed.send(Frame { body, ..Frame::default() }).await?;
                 continue;
             }
@@ -167,6 +170,10 @@
                 gateway.stores.tell(id, &change);
                 None
             }
+            Some(Body::CrashNotice(notice)) => {
+                gateway.merge_crash_notice(notice);
+                None
+            }
             Some(Body::WatchAnswer(answer)) => {
                 asked.answer(call, answer);
                 None
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -1,5 +1,6 @@
 //! Offering a request to upstreams until one answers it.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bilberry_core::Clock;
@@ -70,7 +71,10 @@
     /// A failure that a server answered is kept while others are asked, and passed
     /// on if none of them does better. Once a send may have run, no refusal says
     /// that the request did not: what a later upstream says speaks for itself only.
-    pub(crate) async fn forward(&self, job: &mut Job) -> Result<Answer, Refusal> {
+    pub(crate) async fn forward(
+        self: &Arc<Self>,
+        job: &mut Job,
+    ) -> Result<Answer, Refusal> {
         let mut failed = None;
         match (self.offer(job, &mut failed).await, failed) {
             (Ok(answer), _) => Ok(answer),
@@ -83,12 +87,13 @@
     }
 
     async fn offer(
-        &self,
+        self: &Arc<Self>,
         job: &mut Job,
         failed: &mut Option<Answer>,
     ) -> Result<Answer, Refusal> {
         loop {
             let seat = self.seat(job).await?;
+            self.check_quarantine(job)?;
             let upstream = seat.upstream.clone();
             match self.send(job, seat).await {
                 Sent::Answered(answer) if self.wants_other_answer(job, &answer) => {
@@ -133,7 +138,7 @@
             return false;
         }
         job.runs += 1;
-        job.may_run_after(job.runs) && self.has_time(job)
+        self.may_run_after(job, job.runs) && self.has_time(job)
     }
 
     fn check_another_send(&self, job: &Job) -> Result<(), Refusal> {
@@ -150,7 +155,7 @@
     }
 
     fn check_another_run(&self, job: &Job) -> Result<(), Refusal> {
-        let allowed = job.may_run_after(job.runs) && self.has_time(job);
+        let allowed = self.may_run_after(job, job.runs) && self.has_time(job);
         match allowed && self.may_repeat(&job.pool.name, Repeat::Anew) {
             true => Ok(()),
             false => Err(Refusal::Unanswered),
@@ -161,7 +166,7 @@
         !job.deadline.has_passed_at(self.clock.now())
     }
 
-    async fn send(&self, job: &mut Job, seat: Seat) -> Sent {
+    async fn send(self: &Arc<Self>, job: &mut Job, seat: Seat) -> Sent {
         let upstream = seat.upstream.clone();
         job.tried.push(upstream.clone());
         job.backup = self.choose_backup(job, &upstream);
@@ -184,7 +189,7 @@
         let now = self.clock.now();
         job.sent_at = now;
         let repeatable = job.route.kind.is_repeatable();
-        let may_repeat = job.may_run_after(job.runs + 1);
+        let may_repeat = self.may_run_after(job, job.runs + 1);
         let left = job.deadline.left(now);
         let sent = tokio::select! {
             sent = connection.send(request) => sent,
@@ -214,7 +219,7 @@
 
     /// Sends the request to the engine that keeps a copy of its memory.
     pub(crate) async fn send_to_copy(
-        &self,
+        self: &Arc<Self>,
         job: &mut Job,
         seat: Seat,
         last_event: Option<u64>,
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -34,6 +34,7 @@
 use crate::SidecarSigns;
 use crate::Upstream;
 use crate::Upstreams;
+use crate::crashes::KnownCrashes;
 
 /// The bounds and identity that an entry is started with.
 #[derive(Debug, Clone)]
@@ -71,6 +72,7 @@
     pub hubs: Hubs,
     /// Which hosts of engines have shown a sidecar.
     pub sidecars: SidecarSigns,
+    pub(crate) crashes: KnownCrashes,
     pub(crate) pace: Pace,
     pub(crate) readings: Mutex<Readings>,
     pub(crate) lines: LineBudget,
@@ -97,6 +99,7 @@
             weights: KnownWeights::default(),
             hubs: Hubs::default(),
             sidecars: SidecarSigns::default(),
+            crashes: KnownCrashes::default(),
             pace: Pace::default(),
             readings: Mutex::default(),
             lines: LineBudget::default(),
--- a/crates/bilberry-gateway/src/metrics.rs
+++ b/crates/bilberry-gateway/src/metrics.rs
@@ -33,6 +33,8 @@
     pub sends: Family<OutcomeLabel, Counter>,
     /// Runs that were in progress at an upstream when it crashed.
     pub crashed_runs: Counter,
+    /// Requests put in quarantine, as they crash servers.
+    pub quarantines: Counter,
     /// Time until the first byte of an answer.
     pub first_byte_seconds: Histogram,
     /// Time that requests waited for an upstream with room.
@@ -70,6 +72,7 @@
             requests: Family::default(),
             sends: Family::default(),
             crashed_runs: Counter::default(),
+            quarantines: Counter::default(),
             first_byte_seconds: histogram(),
             wait_seconds: histogram(),
             resumed: Counter::default(),
@@ -94,6 +97,8 @@
         registry.register("sends", "Sends to upstreams", self.sends.clone());
         let help = "Runs in progress at an upstream when it crashed";
         registry.register("crashed_runs", help, self.crashed_runs.clone());
+        let help = "Requests put in quarantine";
+        registry.register("quarantines", help, self.quarantines.clone());
         let first = self.first_byte_seconds.clone();
         registry.register("first_byte_seconds", "Time until the first byte", first);
         let wait = self.wait_seconds.clone();
--- a/crates/bilberry-gateway/src/passing.rs
+++ b/crates/bilberry-gateway/src/passing.rs
@@ -59,6 +59,9 @@
     /// Counts and logs what became of a request.
     pub(crate) fn conclude(&self, job: &Job, outcome: &'static str) {
         self.metrics.count_request(outcome);
+        if outcome == Ended::Whole.outcome() {
+            self.record_served(job);
+        }
         let plain_success = outcome == "served" && job.sends == 1 && job.is_in_time();
         if self.lines.spend(self.clock.now(), plain_success) {
             write_outcome(job, outcome, &self.clock);
--- a/crates/bilberry-gateway/src/placing.rs
+++ b/crates/bilberry-gateway/src/placing.rs
@@ -107,7 +107,7 @@
         let can_fetch = self.stores.any_answers();
         let demand = job.demand(can_fetch, self.pace.token_us(&job.pool.name));
         let mut versions = Vec::with_capacity(upstreams.len());
-        let offers: Vec<Offer> = upstreams
+        let mut offers: Vec<Offer> = upstreams
             .iter()
             .map(|upstream| {
                 let mut offer =
@@ -127,6 +127,9 @@
                 offer
             })
             .collect();
+        if self.is_suspect(job) {
+            keep_least_loaded(&mut offers);
+        }
         let at = place(&demand, &offers)?;
         let version = versions[at].filter(|_| job.call.model.is_some());
         let like = offers.iter().zip(&versions).filter(|(_, other)| **other == version);
@@ -170,3 +173,10 @@
     /// The most shared tokens that an upstream with these weights holds.
     pub(crate) held_tokens: u64,
 }
+
+/// Leaves only the upstreams at which least runs, so that a crash cuts the fewest others.
+fn keep_least_loaded(offers: &mut [Offer]) {
+    let usable = offers.iter().filter(|offer| offer.usable);
+    let least = usable.map(|offer| offer.running).min().unwrap_or_default();
+    offers.iter_mut().for_each(|offer| offer.usable &= offer.running == least);
+}
--- a/crates/bilberry-gateway/src/plain_answer.rs
+++ b/crates/bilberry-gateway/src/plain_answer.rs
@@ -35,7 +35,7 @@
 impl<D: Dialect, C: Clock> Gateway<D, C> {
     /// Reads a plain answer whole, unless it is long; an error if it breaks off.
     pub(crate) async fn read_whole(
-        &self,
+        self: &Arc<Self>,
         job: &mut Job,
         mut answer: Answer,
     ) -> Result<PlainAnswer, Refusal> {
@@ -89,7 +89,7 @@
     }
 
     async fn pass_all(
-        &self,
+        self: &Arc<Self>,
         job: &Job,
         answer: &mut Answer,
         begun: Bytes,
--- a/crates/bilberry-gateway/src/readings.rs
+++ b/crates/bilberry-gateway/src/readings.rs
@@ -4,6 +4,7 @@
 use bilberry_core::Reading;
 use bilberry_core::UnixMs;
 use bilberry_core::most_wait_for_parts_ms;
+use bilberry_wire::Body;
 use bilberry_wire::PartReading;
 use bilberry_wire::ReadingNotice;
 
@@ -68,7 +69,8 @@
         }
         self.note_readings(&seat.upstream, &begun, now);
         let born_ms = born_ms(seat);
-        seat.upstream.tell(ReadingNotice { begun, born_ms, ..ReadingNotice::default() });
+        let notice = ReadingNotice { begun, born_ms, ..ReadingNotice::default() };
+        send_notice(seat, notice);
     }
 
     /// Notes that what a request had read is in its upstream's cache.
@@ -80,11 +82,10 @@
             return;
         }
         self.note_read(&reads.parts);
-        seat.upstream.tell(ReadingNotice {
-            read: reads.parts,
-            born_ms: born_ms(seat),
-            ..ReadingNotice::default()
-        });
+        let born_ms = born_ms(seat);
+        let notice =
+            ReadingNotice { read: reads.parts, born_ms, ..ReadingNotice::default() };
+        send_notice(seat, notice);
     }
 
     /// Takes over which parts an upstream reads.
@@ -118,6 +119,13 @@
     }
 }
 
+/// Sends a notice to the sidecar; the engine's own events report the same later.
+fn send_notice(seat: &Seat, notice: ReadingNotice) {
+    if !seat.upstream.send_to_sidecar(Body::ReadingNotice(notice)) {
+        log::debug!("a reading at {} is not reported to its sidecar", seat.upstream.id);
+    }
+}
+
 fn born_ms(seat: &Seat) -> Option<u64> {
     seat.upstream.incarnation().map(|incarnation| incarnation.born_at.0)
 }
--- a/crates/bilberry-gateway/src/refusal.rs
+++ b/crates/bilberry-gateway/src/refusal.rs
@@ -45,6 +45,12 @@
     /// No upstream has the weights that were named.
     #[error("no upstream has the newest weights yet; come back as told")]
     NoWeights,
+    /// The request crashes the servers that run it.
+    #[error("this request crashed the servers that ran it; don't send it again for {} s", for_ms.div_ceil(1_000))]
+    Quarantined {
+        /// For how long it is rejected.
+        for_ms: u64,
+    },
     /// The time was over before the request reached an upstream.
     #[error("the time was over before an upstream took the request; allow more")]
     TooLate,
@@ -76,6 +82,7 @@
             | Self::KeysUnsure
             | Self::NoRoom
             | Self::NoWeights
+            | Self::Quarantined { .. }
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unanswered => StatusCode::BAD_GATEWAY,
             Self::Expired => StatusCode::GATEWAY_TIMEOUT,
@@ -100,6 +107,7 @@
             Self::UnknownKey => "unknown_key",
             Self::NoRoom => "no_room",
             Self::NoWeights => "no_weights",
+            Self::Quarantined { .. } => "quarantined",
             Self::TooLate => "too_late",
             Self::Unanswered => "unanswered",
             Self::Expired => "expired",
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -109,7 +109,7 @@
     }
 
     async fn relay_all(
-        &self,
+        self: &Arc<Self>,
         job: &mut Job,
         answer: Answer,
         pieces: &mpsc::Sender<BodyPiece>,
@@ -150,7 +150,7 @@
 
     /// Has another upstream continue a stream after its last whole event.
     async fn resume(
-        &self,
+        self: &Arc<Self>,
         job: &mut Job,
         splitter: &EventSplitter,
         upstream: &Arc<Upstream>,
@@ -160,7 +160,8 @@
             let last_event = splitter.last_id();
             return self.resume_from_backup(job, last_event, upstream, first_run).await;
         }
-        if !job.may_run_after(job.runs) || !self.may_repeat(&job.pool.name, Repeat::GoOn)
+        if !self.may_run_after(job, job.runs)
+            || !self.may_repeat(&job.pool.name, Repeat::GoOn)
         {
             return None;
         }
@@ -191,7 +192,7 @@
         tokio::pin!(ending);
         let mut begun = false;
         loop {
-            let may_resume = job.may_run_after(job.runs + 1);
+            let may_resume = self.may_run_after(job, job.runs + 1);
             let left = job.deadline.left(self.clock.now());
             let frame = tokio::select! {
                 frame = answer.response.body_mut().frame() => frame,
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -74,6 +74,9 @@
             Err(refusal) => return self.refuse_early(&job.call.attempt, &refusal),
         };
         job.key = job.compute_key();
+        if let Err(refusal) = self.check_quarantine(&job) {
+            return self.refuse(&job, &refusal);
+        }
         self.count_request(&job.pool.name);
         let mut caller = CallerGuard { gateway: self.clone(), job: Some(job) };
         let outcome = caller.serve().await;
@@ -201,6 +204,7 @@
         let outage_over_ms = self.outage_over_ms(&job.pool.name, left_ms);
         refusal.answer(match (refusal, outage_over_ms) {
             (Refusal::NoWeights, _) => come_back_late_ms(left_ms),
+            (Refusal::Quarantined { for_ms }, _) => *for_ms,
             (Refusal::NoRoom, Some((least, most))) => rand::random_range(least..=most),
             _ => come_back_ms(left_ms),
         })
@@ -271,7 +275,7 @@
                 }
                 Err(Refusal::Unanswered) => {
                     job.runs += 1;
-                    let again = job.may_run_after(job.runs)
+                    let again = self.gateway.may_run_after(job, job.runs)
                         && self.gateway.may_repeat(&job.pool.name, Repeat::Anew);
                     if !again {
                         return Served::Refused(Refusal::Unanswered);
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -14,8 +14,8 @@
 use bilberry_core::StorePosition;
 use bilberry_core::UnixMs;
 use bilberry_core::Weights;
+use bilberry_wire::Body;
 use bilberry_wire::CacheChange;
-use bilberry_wire::ReadingNotice;
 use bilberry_wire::UpstreamState;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -92,7 +92,7 @@
     live: Mutex<Live>,
     parts: Mutex<HashMap<u64, UnixMs>>,
     lost: watch::Sender<bool>,
-    notices: Mutex<Option<mpsc::Sender<ReadingNotice>>>,
+    to_sidecar: Mutex<Option<mpsc::Sender<Body>>>,
 }
 
 impl Upstream {
@@ -111,7 +111,7 @@
             live: Mutex::new(live),
             parts: Mutex::default(),
             lost: watch::Sender::new(false),
-            notices: Mutex::default(),
+            to_sidecar: Mutex::default(),
         }
     }
 
@@ -414,19 +414,15 @@
         !live.is_down(now) && live.failures == 0
     }
 
-    /// Takes over how its sidecar is told what requests read here.
-    pub fn tell_by(&self, notices: mpsc::Sender<ReadingNotice>) {
-        *self.notices.lock().unwrap() = Some(notices);
+    /// Sets the queue of messages to its sidecar.
+    pub fn set_sidecar_queue(&self, queue: mpsc::Sender<Body>) {
+        *self.to_sidecar.lock().unwrap() = Some(queue);
     }
 
-    /// Tells its sidecar what a request reads here; where it can't be told, the
-    /// engine's own events say the same later.
-    pub fn tell(&self, notice: ReadingNotice) {
-        let notices = self.notices.lock().unwrap();
-        let Some(notices) = notices.as_ref() else { return };
-        if notices.try_send(notice).is_err() {
-            log::debug!("a sidecar is not told what is read at {}", self.id);
-        }
+    /// Queues a message to its sidecar; returns whether the queue took it.
+    pub fn send_to_sidecar(&self, message: Body) -> bool {
+        let queue = self.to_sidecar.lock().unwrap();
+        queue.as_ref().is_some_and(|queue| queue.try_send(message).is_ok())
     }
 
     /// Returns what its sidecar says of it.
--- a/crates/bilberry-steward/src/feed.rs
+++ b/crates/bilberry-steward/src/feed.rs
@@ -30,6 +30,7 @@
 use tokio_util::codec::Framed;
 
 use crate::CacheView;
+use crate::CrashRelay;
 use crate::Engine;
 use crate::EngineState;
 use crate::FollowedStore;
@@ -64,6 +65,8 @@
     pub stores: PromptStores<E>,
     /// The newest weights that were heard of.
     pub newest: Arc<Newest>,
+    /// Crashes that entries report.
+    pub crashes: CrashRelay,
     /// The platform's store, watched for entries that ask.
     pub hub: Arc<WatchHub<S, C>>,
     /// The clock.
@@ -133,6 +136,10 @@
     let mut stores = Vec::new();
     let mut answers = FuturesUnordered::new();
     let mut told_born_ms = None;
+    let (known_crashes, mut crashes) = feed.crashes.subscribe();
+    if let Some(notice) = known_crashes {
+        send(&mut framed, Body::CrashNotice(notice)).await?;
+    }
     loop {
         let told = state.borrow_and_update().clone();
         let now = feed.clock.now();
@@ -168,6 +175,19 @@
                 change = next_of(&mut stores) => {
                     send(&mut framed, Body::StoreChange(change)).await?;
                 }
+                notice = crashes.recv() => {
+                    let notice = match notice {
+                        Ok(notice) => Some(notice),
+                        Err(_) => {
+                            let (all, later) = feed.crashes.subscribe();
+                            crashes = later;
+                            all
+                        }
+                    };
+                    if let Some(notice) = notice {
+                        send(&mut framed, Body::CrashNotice(notice)).await?;
+                    }
+                }
                 Some(answer) = answers.next(), if !answers.is_empty() => {
                     framed.send(answer).await?;
                 }
@@ -180,6 +200,10 @@
                             feed.cache.pass_on(notice);
                             continue;
                         }
+                        Some(Body::CrashNotice(notice)) => {
+                            feed.crashes.merge(notice, feed.clock.now());
+                            continue;
+                        }
                         Some(Body::WatchAsk(ask)) if answers.len() < MAX_QUESTIONS => {
                             answers.push(answer(feed.hub.clone(), call, ask));
                             continue;
--- a/crates/bilberry-steward/src/lib.rs
+++ b/crates/bilberry-steward/src/lib.rs
@@ -5,6 +5,7 @@
 //! can race.
 
 mod cache;
+mod crash_relay;
 mod engine;
 mod feed;
 mod first_order;
@@ -18,6 +19,7 @@
 pub use cache::CacheListing;
 pub use cache::CacheView;
 pub use cache::CachedPart;
+pub use crash_relay::CrashRelay;
 pub use engine::Engine;
 pub use engine::EngineReport;
 pub use engine::EngineSilent;
--- /dev/null
+++ b/crates/bilberry-wire/src/crashes.rs
@@ -0,0 +1,48 @@
+//! Which requests were running at upstreams when these crashed.
+
+use bilberry_core::CrashReport;
+use bilberry_core::RequestKey;
+
+/// Crashes that an entry has seen, or that a sidecar relays to entries.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct CrashNotice {
+    /// The crashes.
+    #[prost(message, repeated, tag = "1")]
+    pub runs: Vec<CrashedRun>,
+}
+
+/// A run of a request that was in progress when its server crashed.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct CrashedRun {
+    /// The key of the request.
+    #[prost(fixed64, tag = "1")]
+    pub request: u64,
+    /// A hash of the server's identity and start.
+    #[prost(fixed64, tag = "2")]
+    pub server: u64,
+    /// Whether the request is not to blame, as it has run to its end since.
+    #[prost(bool, tag = "3")]
+    pub is_void: bool,
+}
+
+impl From<CrashReport> for CrashedRun {
+    fn from(report: CrashReport) -> Self {
+        let CrashReport { request, server, is_void } = report;
+        Self { request: request.0, server, is_void }
+    }
+}
+
+impl From<CrashedRun> for CrashReport {
+    fn from(run: CrashedRun) -> Self {
+        let CrashedRun { request, server, is_void } = run;
+        Self { request: RequestKey(request), server, is_void }
+    }
+}
+
+impl CrashNotice {
+    /// Returns the notice of these crashes; `None` of none.
+    pub fn of(reports: Vec<CrashReport>) -> Option<Self> {
+        let runs: Vec<CrashedRun> = reports.into_iter().map(CrashedRun::from).collect();
+        (!runs.is_empty()).then_some(Self { runs })
+    }
+}
--- a/crates/bilberry-wire/src/frame.rs
+++ b/crates/bilberry-wire/src/frame.rs
@@ -2,6 +2,7 @@
 
 use crate::CacheChange;
 use crate::Chunk;
+use crate::CrashNotice;
 use crate::Dispatch;
 use crate::DrainAnswer;
 use crate::DrainAsk;
@@ -40,7 +41,7 @@
     #[prost(
         oneof = "Body",
         tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, \
-                                    18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 30, 31, 32, 33"
+                                    18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 30, 31, 32, 33, 34"
     )]
     pub body: Option<Body>,
 }
@@ -137,6 +138,9 @@
     /// Answers with changes of the platform's store.
     #[prost(message, tag = "33")]
     WatchAnswer(WatchAnswer),
+    /// Reports crashes of upstreams during runs, in both directions.
+    #[prost(message, tag = "34")]
+    CrashNotice(CrashNotice),
 }
 
 /// Who opened a connection.
--- a/crates/bilberry-wire/src/lib.rs
+++ b/crates/bilberry-wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! written by hand with the derives of `prost`, so the build needs no generator.
 
 mod codec;
+mod crashes;
 mod dispatch;
 mod feed;
 mod frame;
@@ -15,6 +16,8 @@
 pub use codec::FrameCodec;
 pub use codec::MAX_FRAME_BYTES;
 pub use codec::WireError;
+pub use crashes::CrashNotice;
+pub use crashes::CrashedRun;
 pub use dispatch::Chunk;
 pub use dispatch::Dispatch;
 pub use dispatch::Finished;
--- a/crates/bilberryd/src/hosted.rs
+++ b/crates/bilberryd/src/hosted.rs
@@ -35,6 +35,7 @@
 use bilberry_node::StartError;
 use bilberry_node::bind;
 use bilberry_steward::CacheView;
+use bilberry_steward::CrashRelay;
 use bilberry_steward::Feed;
 use bilberry_steward::FirstOrder;
 use bilberry_steward::Newest;
@@ -231,7 +232,9 @@
     let status = Arc::new(StatusPage { process: steward.clone() });
     let _metrics = serve_metrics(&settings, status).await?;
     let stores = PromptStores::new(HttpEngine::new);
-    let told = Feed { state: steward.state(), cache, stores, newest, hub, clock };
+    let crashes = CrashRelay::new();
+    let told =
+        Feed { state: steward.state(), cache, stores, newest, crashes, hub, clock };
     tokio::spawn(serve_feed(feed, told));
     tokio::spawn(steward.run());
     wait_for_signal().await;
