Log what a server says of itself in an answer: that it leaves, that it asks for a pause

Nothing in the logs told that a server's answers had said so before the system went on sending to it. The load, the header of a leaving server and Retry-After of a 503 are decoded into one record in one place; the first one acts as before, the other two are logged only.

--- a/crates/bilberry-gateway/src/call.rs
+++ b/crates/bilberry-gateway/src/call.rs
@@ -156,6 +156,17 @@
     pub slots: u64,
 }
 
+/// What an upstream says of itself in an answer, whatever it answers.
+#[derive(Debug, Copy, Clone, Default, PartialEq, Eq)]
+pub struct ServerStatus {
+    /// How loaded it is, if it says so.
+    pub load: Option<ServerLoad>,
+    /// Whether it is shutting down.
+    pub is_leaving: bool,
+    /// For how long it asks this entry to send nothing, if it turned a request away.
+    pub retry_after_ms: Option<u64>,
+}
+
 /// Translates between a platform's headers and the router's terms.
 pub trait Dialect: Send + Sync + 'static {
     /// Reads a caller's headers.
@@ -182,6 +193,6 @@
     /// Reads the answer to it.
     fn stop_reply(&self, status: StatusCode, body: &[u8]) -> StopReply;
 
-    /// Reads how loaded an upstream says it is.
-    fn load(&self, headers: &HeaderMap) -> Option<ServerLoad>;
+    /// Reads what an upstream says of itself.
+    fn server_status(&self, status: StatusCode, headers: &HeaderMap) -> ServerStatus;
 }
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -253,15 +253,17 @@
         connection: Connection,
         seat: Seat,
     ) -> Sent {
-        if let Some(load) = self.dialect.load(response.headers()) {
-            seat.upstream.note_load(load);
-        }
         let verdict = self.dialect.judge(
             response.status(),
             response.headers(),
             &job.call.attempt,
             &seat.upstream.id,
         );
+        if !matches!(verdict, Verdict::Replaced | Verdict::Crossed) {
+            let status =
+                self.dialect.server_status(response.status(), response.headers());
+            seat.upstream.record_status(&status, self.clock.now());
+        }
         match verdict {
             Verdict::Answered => {
                 seat.upstream.note_answer();
--- a/crates/bilberry-gateway/src/lib.rs
+++ b/crates/bilberry-gateway/src/lib.rs
@@ -43,6 +43,7 @@
 pub use call::MemoryCopy;
 pub use call::PromptPart;
 pub use call::ServerLoad;
+pub use call::ServerStatus;
 pub use call::StopCall;
 pub use call::StopReply;
 pub use call::Verdict;
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -23,7 +23,7 @@
 
 use crate::EngineTerms;
 use crate::Listed;
-use crate::ServerLoad;
+use crate::ServerStatus;
 use crate::upstream::live::Live;
 
 /// For how long a part counts as held after it was read or used there.
@@ -288,9 +288,16 @@
         self.live.lock().unwrap().doubtful = true;
     }
 
-    /// Takes over the load that an answer reported.
-    pub fn note_load(&self, load: ServerLoad) {
-        self.live.lock().unwrap().load = Some(load);
+    /// Records what one of its answers says of it.
+    pub fn record_status(&self, status: &ServerStatus, _now: UnixMs) {
+        let mut live = self.live.lock().unwrap();
+        live.load = status.load.or(live.load);
+        if status.is_leaving && !live.leaving {
+            log::info!(target: "upstream", upstream = self.id.as_str(); "announced shutdown in an answer");
+        }
+        if let Some(retry_after_ms) = status.retry_after_ms {
+            log::info!(target: "upstream", upstream = self.id.as_str(), retry_after_ms; "turned a request away with Retry-After");
+        }
     }
 
     /// Notes that the upstream answered.
