A server that announces its shutdown in an answer gets no more requests

What callers saw: requests went on to a server for more than ten seconds after its answers had said that it leaves, and were cut with it in the end, as the store was away and could not say so.

Cause: that a server leaves was read from the store's list alone; the header was not read. A removal and a later listing would have forgotten it as well, as a new entry of the list makes a new value for the server.

Now each answer that is the server's own, failures and answers to calls that stop runs included, marks this start of the server as leaving. A new start is not leaving. The announcement outlives the server's removal from the list, for a listing of the same start that is out of date.

--- a/crates/bilberry-gateway/src/stopping.rs
+++ b/crates/bilberry-gateway/src/stopping.rs
@@ -166,6 +166,8 @@
         run.asked_to_stop.store(true, Ordering::Relaxed);
         let answer = connection.send(self.dialect.stop_call(&stop)).await.ok()?;
         let status = answer.status();
+        let told = self.dialect.server_status(status, answer.headers());
+        run.upstream.record_status(&told, self.clock.now());
         let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect();
         let body = body.await.ok()?.to_bytes();
         match self.dialect.stop_reply(status, &body) {
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -129,6 +129,18 @@
         self.live.lock().unwrap().leaving = true;
     }
 
+    /// Records that it has announced its shutdown; it does so once per incarnation.
+    pub fn announce_leaving(&self) {
+        let mut live = self.live.lock().unwrap();
+        live.leaving = true;
+        live.announced_leaving = true;
+    }
+
+    /// Reports whether it has announced its shutdown in an answer.
+    pub fn has_announced_leaving(&self) -> bool {
+        self.live.lock().unwrap().announced_leaving
+    }
+
     /// Notes that it has started again: this incarnation is over.
     ///
     /// What still runs there is lost, and takes no new work. A stream that its engine
@@ -292,7 +304,9 @@
     pub fn record_status(&self, status: &ServerStatus, _now: UnixMs) {
         let mut live = self.live.lock().unwrap();
         live.load = status.load.or(live.load);
-        if status.is_leaving && !live.leaving {
+        if status.is_leaving && !live.announced_leaving {
+            live.leaving = true;
+            live.announced_leaving = true;
             log::info!(target: "upstream", upstream = self.id.as_str(); "announced shutdown in an answer");
         }
         if let Some(retry_after_ms) = status.retry_after_ms {
--- a/crates/bilberry-gateway/src/upstream/live.rs
+++ b/crates/bilberry-gateway/src/upstream/live.rs
@@ -17,6 +17,8 @@
 pub(super) struct Live {
     pub(super) slots: u64,
     pub(super) leaving: bool,
+    /// Whether one of its answers says that it leaves.
+    pub(super) announced_leaving: bool,
     /// Whether it has started again since, so that this is over.
     pub(super) ended: bool,
     pub(super) incarnation: Option<Incarnation>,
@@ -48,6 +50,7 @@
         Self {
             slots: listed.slots,
             leaving: listed.leaving,
+            announced_leaving: false,
             ended: false,
             incarnation: listed.incarnation,
             confirmed: true,
--- a/crates/bilberry-gateway/src/upstreams.rs
+++ b/crates/bilberry-gateway/src/upstreams.rs
@@ -19,12 +19,19 @@
 use crate::Listed;
 use crate::Upstream;
 
+/// How many upstreams that announced their shutdown and are off the list are kept.
+///
+/// Far more than leave within the seconds in which a list can be out of date.
+const MAX_ANNOUNCED: usize = 4_096;
+
 /// All upstreams that the platform lists.
 #[derive(Debug, Default)]
 pub struct Upstreams {
     by_id: Mutex<HashMap<Name, Arc<Upstream>>>,
     by_pool: ArcSwap<HashMap<Name, Vec<Arc<Upstream>>>>,
     unnamed: Mutex<Unnamed>,
+    /// Upstreams taken off the list that had announced their shutdown.
+    announced: Mutex<HashMap<Name, Arc<Upstream>>>,
     listed: AtomicBool,
     /// Told whenever an upstream may have room again.
     pub changed: Arc<Notify>,
@@ -146,6 +153,32 @@
         if let Some(gone) = by_id.remove(id) {
             gone.leave();
             self.publish(&by_id);
+            self.keep_announcement(gone);
+        }
+    }
+
+    /// Keeps that an upstream has announced its shutdown, in case a list that does not
+    /// know of it yet names the upstream again.
+    fn keep_announcement(&self, gone: Arc<Upstream>) {
+        if !gone.has_announced_leaving() {
+            return;
+        }
+        let mut announced = self.announced.lock().unwrap();
+        if announced.len() >= MAX_ANNOUNCED {
+            announced.clear();
+        }
+        announced.insert(gone.id.clone(), gone);
+    }
+
+    /// Restores the announcement of an upstream that is listed again in the same start.
+    fn restore_announcement(&self, upstream: &Upstream) {
+        let Some(before) = self.announced.lock().unwrap().remove(&upstream.id) else {
+            return;
+        };
+        let told = Incarnation::compare(before.incarnation(), upstream.incarnation());
+        if told == Told::Same && before.address == upstream.address {
+            log::info!(target: "upstream", upstream = upstream.id.as_str(); "ignoring a listing of a server that announced its shutdown");
+            upstream.announce_leaving();
         }
     }
 
@@ -194,6 +227,7 @@
         by_id: &mut HashMap<Name, Arc<Upstream>>,
         upstream: Upstream,
     ) -> Arc<Upstream> {
+        self.restore_announcement(&upstream);
         let upstream = Arc::new(upstream);
         by_id.insert(upstream.id.clone(), upstream.clone());
         retire_older(by_id, &upstream);
