A server that turns a request away with Retry-After is left alone for that time

What callers saw: five of 18 servers turned requests away and asked for three seconds each. They got up to 35 requests a second all the same: a request went to three of them within 20 ms and was refused, while 13 servers had room.

Cause: Retry-After was not read. A server that turned a request away was avoided for 60 ms, whatever it asked, and any other answer of it ended even that. As nothing ran there, it looked like the emptiest server afterwards.

A server in its pause has no room for new requests, for copies and for resumed streams. It asked this entry, so nothing is told to others. Where all servers of a service pause longer than a request may wait, it is rejected at once, with the earliest end as Retry-After, spread over a quarter of it. Pauses over an hour count as an hour; what is no positive number of seconds asks for nothing.

--- a/crates/bilberry-gateway/src/backup.rs
+++ b/crates/bilberry-gateway/src/backup.rs
@@ -118,6 +118,9 @@
         let obstacle = match () {
             _ if barred => Some("the copy's engine has older weights"),
             _ if backup.is_leaving() => Some("the copy's engine leaves or is gone"),
+            _ if backup.paused_until(now).is_some() => {
+                Some("the copy's engine asked for a pause")
+            }
             _ if self.is_suspect(job) => Some("it may crash the next engine as well"),
             _ if !self.may_repeat(&job.pool.name, Repeat::GoOn) => {
                 Some("no repeats are left")
--- a/crates/bilberry-gateway/src/placing.rs
+++ b/crates/bilberry-gateway/src/placing.rs
@@ -49,7 +49,9 @@
             let now = self.clock.now();
             let has_none = self.upstreams.is_listed()
                 && self.upstreams.of(&job.pool.name).is_empty();
-            if until.has_passed_at(now) || has_none {
+            let is_paused = self.all_paused_until(&job.pool.name, now);
+            let is_paused = is_paused.is_some_and(|paused_until| paused_until > until);
+            if until.has_passed_at(now) || has_none || is_paused {
                 break Err(Refusal::NoRoom);
             }
             if self.lacks_weights(job, until, now) {
@@ -67,6 +69,16 @@
         seat
     }
 
+    /// Returns the earliest end of the pauses that all upstreams of a service have asked
+    /// for, those that leave aside; `None` if one of them has asked for none.
+    pub(crate) fn all_paused_until(&self, pool: &Name, now: UnixMs) -> Option<UnixMs> {
+        let mut upstreams = self.upstreams.of(pool);
+        upstreams.retain(|upstream| !upstream.is_leaving());
+        let ends: Option<Vec<UnixMs>> =
+            upstreams.iter().map(|upstream| upstream.paused_until(now)).collect();
+        ends?.into_iter().min()
+    }
+
     /// Reports whether all upstreams have weights that are too old, and none of them
     /// is known to have others by `until`.
     ///
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -40,6 +40,9 @@
 /// Callers follow the advice only up to a third of the time that they have left.
 const COME_BACK_PART: u64 = 4;
 
+/// The part of a pause over which callers come back after its end.
+const PAUSE_SPREAD_PART: u64 = 4;
+
 /// The earliest and the latest time after which a refused caller comes back.
 ///
 /// Room appears as running answers end, some hundred milliseconds apart.
@@ -200,9 +203,12 @@
 
     fn refuse(&self, job: &Job, refusal: &Refusal) -> Response<OutBody> {
         self.conclude(job, refusal.code());
-        let left_ms = job.deadline.ms_since(self.clock.now());
+        let now = self.clock.now();
+        let left_ms = job.deadline.ms_since(now);
+        let paused_until = self.all_paused_until(&job.pool.name, now);
         let outage_over_ms = self.outage_over_ms(&job.pool.name, left_ms);
-        refusal.answer(match (refusal, outage_over_ms) {
+        let pause_ms = paused_until.map(|until| until.ms_since(now));
+        refusal.answer(match (refusal, outage_over_ms.or(pause_ms.map(after_pause_ms))) {
             (Refusal::NoWeights, _) => come_back_late_ms(left_ms),
             (Refusal::Quarantined { for_ms }, _) => *for_ms,
             (Refusal::NoRoom, Some((least, most))) => rand::random_range(least..=most),
@@ -220,6 +226,12 @@
     rand::random_range(least.min(most)..=most)
 }
 
+/// Returns the least and the most time after which a caller may come back, if all
+/// upstreams have asked for pauses of which the first ends in `pause_ms`.
+fn after_pause_ms(pause_ms: u64) -> (u64, u64) {
+    (pause_ms, pause_ms + (pause_ms / PAUSE_SPREAD_PART).max(COME_BACK_MS.0))
+}
+
 /// Returns when a caller may come back for whom no upstream has the weights.
 ///
 /// Nobody is known to load them, so it comes back as late as callers follow the
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -50,6 +50,11 @@
 /// The longest time for which an upstream is left alone between two trials.
 const MOST_SUSPICION_MS: u64 = 2_000;
 
+/// The longest pause that an upstream may ask for.
+///
+/// One that asks for more most likely has the unit wrong; one request an hour shows it.
+const MAX_PAUSE_MS: u64 = 3_600_000;
+
 /// How many requests a plain server may have from one entry for each slot.
 ///
 /// Two let a short queue keep every slot busy; more would only wait.
@@ -301,7 +306,7 @@
     }
 
     /// Records what one of its answers says of it.
-    pub fn record_status(&self, status: &ServerStatus, _now: UnixMs) {
+    pub fn record_status(&self, status: &ServerStatus, now: UnixMs) {
         let mut live = self.live.lock().unwrap();
         live.load = status.load.or(live.load);
         if status.is_leaving && !live.announced_leaving {
@@ -311,6 +316,8 @@
         }
         if let Some(retry_after_ms) = status.retry_after_ms {
             log::info!(target: "upstream", upstream = self.id.as_str(), retry_after_ms; "turned a request away with Retry-After");
+            let until = now.plus_ms(retry_after_ms.min(MAX_PAUSE_MS));
+            live.paused_until = live.paused_until.max(until);
         }
     }
 
@@ -460,6 +467,12 @@
         self.live.lock().unwrap().fresh_feed(now).is_some()
     }
 
+    /// Returns until when it has asked for no requests, if that is still to come.
+    pub fn paused_until(&self, now: UnixMs) -> Option<UnixMs> {
+        let until = self.live.lock().unwrap().paused_until;
+        (!until.has_passed_at(now)).then_some(until)
+    }
+
     /// Reports whether it leaves.
     pub fn is_leaving(&self) -> bool {
         self.live.lock().unwrap().leaving
--- a/crates/bilberry-gateway/src/upstream/live.rs
+++ b/crates/bilberry-gateway/src/upstream/live.rs
@@ -36,6 +36,8 @@
     pub(super) reserved_tokens: u64,
     pub(super) failures: u32,
     pub(super) suspect_until: UnixMs,
+    /// Until when it has asked for no requests; only time ends that.
+    pub(super) paused_until: UnixMs,
     /// Whether its sidecar or the last send says that it is gone.
     pub(super) seems_gone: bool,
     /// Whether its sidecar fell silent on an open connection, and neither was heard since.
@@ -66,6 +68,7 @@
             reserved_tokens: 0,
             failures: 0,
             suspect_until: UnixMs(0),
+            paused_until: UnixMs(0),
             seems_gone: false,
             doubtful: false,
             trials: 0,
@@ -90,6 +93,8 @@
         let fed = self.fresh_feed(now).is_none_or(|state| state.up && !state.loading);
         let is_free = self.confirmed || self.in_progress == 0;
         let is_free = is_free && (!self.doubtful || self.trials == 0);
-        fed && is_free && !self.leaving && self.suspect_until.has_passed_at(now)
+        let is_paused = !self.paused_until.has_passed_at(now);
+        let is_suspect = !self.suspect_until.has_passed_at(now);
+        fed && is_free && !self.leaving && !is_paused && !is_suspect
     }
 }
