A sidecar reports that its engine announces its shutdown

Each entry learnt of it by a request of its own only: the header stands in all answers of a leaving server, those to its sidecar's questions included. The sidecar passes it on with the engine's state, at once. The test failed before: engines that had told their sidecars so got requests while the store was away; now none.

--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -228,6 +228,8 @@
             told if live.cache_epoch == 0 => live.cache_epoch = told,
             told => live.leaving |= told != live.cache_epoch,
         }
+        live.leaving |= state.leaving;
+        live.announced_leaving |= state.leaving;
         live.seems_gone = !state.up;
         live.doubtful = false;
         live.loads_at = state.loads_in_ms.map(|in_ms| now.plus_ms(in_ms));
--- a/crates/bilberry-steward/src/engine.rs
+++ b/crates/bilberry-steward/src/engine.rs
@@ -28,6 +28,8 @@
     pub total_tokens: u64,
     /// Which start of the engine this tells of, if it says so.
     pub incarnation: Option<Incarnation>,
+    /// Whether it announces its shutdown.
+    pub is_leaving: bool,
 }
 
 /// What becomes of the requests that run while an engine takes new weights.
--- a/crates/bilberry-steward/src/feed.rs
+++ b/crates/bilberry-steward/src/feed.rs
@@ -322,7 +322,7 @@
     let urgent = |state: &EngineState| {
         let EngineState { upstream, loads_at } = state;
         let start = (upstream.cache_epoch, upstream.born_ms);
-        (upstream.up, upstream.loading, start, *loads_at)
+        (upstream.up, upstream.loading, upstream.leaving, start, *loads_at)
     };
     urgent(before) != urgent(now) || before.upstream.models != now.upstream.models
 }
--- a/crates/bilberry-steward/src/steward.rs
+++ b/crates/bilberry-steward/src/steward.rs
@@ -228,6 +228,7 @@
             state.up = true;
             state.cache_epoch = self.cache.epoch();
             state.born_ms = progress.incarnation.map(|started| started.born_at.0);
+            state.leaving = report.is_leaving;
             state.loading = loading;
             state.models = report.models.clone();
             state.running = report.running;
--- a/crates/bilberry-wire/src/feed.rs
+++ b/crates/bilberry-wire/src/feed.rs
@@ -52,6 +52,9 @@
     /// When the upstream started, in Unix milliseconds, if it tells it.
     #[prost(fixed64, optional, tag = "11")]
     pub born_ms: Option<u64>,
+    /// Whether it has announced its shutdown in an answer.
+    #[prost(bool, tag = "12")]
+    pub leaving: bool,
 }
 
 /// What an entry tells a sidecar.
