Crash reports in notices that fit a frame; forgotten crashes count no more

Read again: a crash of a whole fleet reports every run in progress, and a sidecar replays all of them to each entry that connects; in one frame that could pass the limit, and the connection would end again and again. Notices carry 2,000 runs now. Reports an hour old were still replayed, and counted together with a new one. Lines on crashed runs go by the budget of lines.

--- a/crates/bilberry-core/src/crash_ledger.rs
+++ b/crates/bilberry-core/src/crash_ledger.rs
@@ -100,6 +100,9 @@
         self.make_room(report.request, now);
         let fresh = || Crashes { reports: Vec::new(), last_at: now };
         let crashes = self.requests.entry(report.request).or_insert_with(fresh);
+        if is_forgotten(crashes, now) {
+            *crashes = fresh();
+        }
         let known =
             crashes.reports.iter_mut().find(|known| known.server == report.server);
         match known {
@@ -141,20 +144,19 @@
         crashes.map_or(Standing::Good, |crashes| crashes.standing(now))
     }
 
-    /// Returns how many crashes count against a request.
-    pub fn counted(&self, request: RequestKey) -> usize {
-        self.requests.get(&request).map_or(0, Crashes::counted)
-    }
-
-    /// Returns all reports.
-    pub fn reports(&self) -> Vec<CrashReport> {
-        self.requests.values().flat_map(|crashes| &crashes.reports).copied().collect()
+    /// Returns all reports on requests that are not forgotten.
+    pub fn reports(&self, now: UnixMs) -> Vec<CrashReport> {
+        let crashes = self.requests.values();
+        let crashes = crashes.filter(|crashes| !is_forgotten(crashes, now));
+        crashes.flat_map(|crashes| &crashes.reports).copied().collect()
     }
 
     /// Returns the reports on requests that are suspect or in quarantine.
     pub fn reports_on_suspects(&self, now: UnixMs) -> Vec<CrashReport> {
         let crashes = self.requests.values();
-        let crashes = crashes.filter(|crashes| crashes.standing(now) != Standing::Good);
+        let crashes = crashes.filter(|crashes| {
+            !is_forgotten(crashes, now) && crashes.standing(now) != Standing::Good
+        });
         crashes.flat_map(|crashes| &crashes.reports).copied().collect()
     }
 
--- a/crates/bilberry-core/tests/crash_ledger.rs
+++ b/crates/bilberry-core/tests/crash_ledger.rs
@@ -35,7 +35,7 @@
 }
 
 fn sorted(ledger: &CrashLedger) -> Vec<(RequestKey, u64, bool)> {
-    let reports = ledger.reports().into_iter();
+    let reports = ledger.reports(NOW).into_iter();
     let mut reports: Vec<_> = reports.map(|r| (r.request, r.server, r.is_void)).collect();
     reports.sort_unstable();
     reports
@@ -93,7 +93,18 @@
         ledger.merge(crash(request, 1), NOW.plus_ms(request / 100));
     }
     assert!(is_quarantined(&ledger, 1, NOW));
-    assert!(ledger.reports().len() < 40_000);
+    assert!(ledger.reports(NOW).len() < 40_000);
+}
+
+#[test]
+fn crashes_are_forgotten_an_hour_after_the_last() {
+    let mut ledger = ledger(&[crash(1, 1), crash(1, 2), crash(1, 3)]);
+    let later = NOW.plus_ms(3_600_000);
+    assert_eq!(ledger.standing(RequestKey(1), later), Standing::Good);
+    assert!(ledger.reports(later).is_empty());
+    assert!(ledger.reports_on_suspects(later).is_empty());
+    ledger.merge(crash(1, 4), later);
+    assert_eq!(ledger.standing(RequestKey(1), later), Standing::Good);
 }
 
 #[test]
@@ -127,7 +138,7 @@
     #[test]
     fn a_relayed_ledger_judges_as_the_one_it_came_from(reports in vec(report(), 0..40)) {
         let first = ledger(&reports);
-        let second = ledger(&first.reports());
+        let second = ledger(&first.reports(NOW));
         for request in 0..4 {
             let key = RequestKey(request);
             prop_assert_eq!(first.standing(key, NOW), second.standing(key, NOW));
--- a/crates/bilberry-gateway/src/crashes.rs
+++ b/crates/bilberry-gateway/src/crashes.rs
@@ -79,10 +79,10 @@
         self.ledger.lock().unwrap().standing(request, now)
     }
 
-    /// Returns the notice that a sidecar gets as it connects, if there is anything to say.
-    pub(crate) fn notice(&self, now: UnixMs) -> Option<Body> {
+    /// Returns the notices that a sidecar gets as it connects.
+    pub(crate) fn notices(&self, now: UnixMs) -> Vec<CrashNotice> {
         let reports = self.ledger.lock().unwrap().reports_on_suspects(now);
-        CrashNotice::of(reports).map(Body::CrashNotice)
+        CrashNotice::of(&reports).collect()
     }
 }
 
@@ -106,7 +106,10 @@
         tokio::spawn(async move {
             if has_crashed(&upstream, is_followed).await {
                 gateway.metrics.crashed_runs.inc();
-                run.log(&upstream);
+                match gateway.lines.spend(gateway.clock.now(), false) {
+                    true => run.log(&upstream),
+                    false => drop(gateway.metrics.dropped_lines.inc()),
+                }
                 let server = server_hash(&upstream);
                 let report = CrashReport { request: run.key, server, is_void: false };
                 gateway.merge_crashes(vec![report], true);
@@ -181,12 +184,13 @@
         sidecars.retain(|upstream| upstream.is_followed(now));
         // An order of the request's own, in which entries choose the same sidecars.
         sidecars.sort_by_key(|upstream| upstream.seed ^ hash);
-        let Some(notice) = CrashNotice::of(reports) else { return };
-        let sent = sidecars.iter().filter(|upstream| {
-            upstream.send_to_sidecar(Body::CrashNotice(notice.clone()))
-        });
-        if sent.take(RELAYS).count() == 0 {
-            log::debug!("no sidecar relays crashes of {:016x}", hash);
+        for notice in CrashNotice::of(&reports) {
+            let sent = sidecars.iter().filter(|upstream| {
+                upstream.send_to_sidecar(Body::CrashNotice(notice.clone()))
+            });
+            if sent.take(RELAYS).count() == 0 {
+                log::debug!("no sidecar relays crashes of {hash:016x}");
+            }
         }
     }
 }
--- a/crates/bilberry-gateway/src/feeds.rs
+++ b/crates/bilberry-gateway/src/feeds.rs
@@ -128,8 +128,9 @@
     let mut silent_at = Instant::now() + SILENCE;
     let mut followed: Option<Arc<Upstream>> = None;
     // A sidecar that started again knows of no crash.
-    if let Some(notice) = gateway.crashes.notice(gateway.clock.now()) {
-        framed.send(Frame { body: Some(notice), ..Frame::default() }).await?;
+    for notice in gateway.crashes.notices(gateway.clock.now()) {
+        let body = Some(Body::CrashNotice(notice));
+        framed.send(Frame { body, ..Frame::default() }).await?;
     }
     loop {
         // Looked up each time, as another incarnation may have taken its place.
--- a/crates/bilberry-steward/src/crash_relay.rs
+++ b/crates/bilberry-steward/src/crash_relay.rs
@@ -30,17 +30,20 @@
         let mut reports: Vec<_> =
             notice.runs.into_iter().map(CrashReport::from).collect();
         reports.retain(|report| ledger.merge(*report, now));
-        if let Some(news) = CrashNotice::of(reports) {
+        for news in CrashNotice::of(&reports) {
             // Without a receiver there is nobody to relay to.
             let _ = self.news.send(news);
         }
     }
 
-    /// Returns all reports, if there are any, and a receiver of later ones.
-    pub fn subscribe(&self) -> (Option<CrashNotice>, broadcast::Receiver<CrashNotice>) {
+    /// Returns notices of all crashes that are not forgotten, and a receiver of later ones.
+    pub fn subscribe(
+        &self,
+        now: UnixMs,
+    ) -> (Vec<CrashNotice>, broadcast::Receiver<CrashNotice>) {
         // Under the lock, so that no report falls between the two.
         let ledger = self.ledger.lock().unwrap();
-        (CrashNotice::of(ledger.reports()), self.news.subscribe())
+        (CrashNotice::of(&ledger.reports(now)).collect(), self.news.subscribe())
     }
 }
 
--- a/crates/bilberry-steward/src/feed.rs
+++ b/crates/bilberry-steward/src/feed.rs
@@ -136,8 +136,8 @@
     let mut stores = Vec::new();
     let mut answers = FuturesUnordered::new();
     let mut told_born_ms = None;
-    let (known_crashes, mut crashes) = feed.crashes.subscribe();
-    if let Some(notice) = known_crashes {
+    let (known_crashes, mut crashes) = feed.crashes.subscribe(feed.clock.now());
+    for notice in known_crashes {
         send(&mut framed, Body::CrashNotice(notice)).await?;
     }
     loop {
@@ -176,15 +176,15 @@
                     send(&mut framed, Body::StoreChange(change)).await?;
                 }
                 notice = crashes.recv() => {
-                    let notice = match notice {
-                        Ok(notice) => Some(notice),
+                    let notices = match notice {
+                        Ok(notice) => vec![notice],
                         Err(_) => {
-                            let (all, later) = feed.crashes.subscribe();
+                            let (all, later) = feed.crashes.subscribe(feed.clock.now());
                             crashes = later;
                             all
                         }
                     };
-                    if let Some(notice) = notice {
+                    for notice in notices {
                         send(&mut framed, Body::CrashNotice(notice)).await?;
                     }
                 }
--- a/crates/bilberry-wire/src/crashes.rs
+++ b/crates/bilberry-wire/src/crashes.rs
@@ -3,6 +3,9 @@
 use bilberry_core::CrashReport;
 use bilberry_core::RequestKey;
 
+/// How many runs one notice carries, some tens of kilobytes.
+const MAX_RUNS: usize = 2_000;
+
 /// Crashes that an entry has seen, or that a sidecar relays to entries.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct CrashNotice {
@@ -40,9 +43,9 @@
 }
 
 impl CrashNotice {
-    /// Returns the notice of these crashes; `None` of none.
-    pub fn of(reports: Vec<CrashReport>) -> Option<Self> {
-        let runs: Vec<CrashedRun> = reports.into_iter().map(CrashedRun::from).collect();
-        (!runs.is_empty()).then_some(Self { runs })
+    /// Returns notices of these crashes, each of which fits a frame; none of none.
+    pub fn of(reports: &[CrashReport]) -> impl Iterator<Item = Self> {
+        let chunks = reports.chunks(MAX_RUNS);
+        chunks.map(|chunk| Self { runs: chunk.iter().copied().map(Into::into).collect() })
     }
 }
