--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -114,14 +114,16 @@
 ///
 /// Ports that the system gives out are also given to outgoing connections, so
 /// one that a killed process had may be taken before it comes up again. Below
-/// that range only these tests take ports, each its own.
+/// that range only these tests take ports, and each test process has a loopback
+/// address of its own, so that two of them never choose the same.
 pub(crate) fn free_address() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(0);
-    let start = std::process::id() * 131;
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
     loop {
         let count = NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PORT + (start + count) % PORTS;
-        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        let port = FIRST_PORT + count % PORTS;
+        let address =
+            SocketAddr::from(([127, 128 | high & 0x3f, middle, low], port as u16));
         if TcpListener::bind(address).is_ok() {
             return address;
         }
