The platform's stand-in shows its first object to a watch from the empty store

of_operators_that_race_one_wins_and_the_others_are_told failed now and then on a busy machine: 'never came: all sidecars answer', for 60 s, with one entry that logged nothing.

Cause: a listing of the empty store gave position 1, 'as zero asks for everything', and the first object got version 1, so a watch from that position never showed it. Where a sidecar was the first to register, after the entries had listed and before they registered, no entry ever learnt of it: they watch, so they list no more, and the one that could tell them is asked by nobody. Positions start at 1 now, and the first object has 2.

--- a/crates/bilberry-standins/src/platform.rs
+++ b/crates/bilberry-standins/src/platform.rs
@@ -44,6 +44,9 @@
     pub hosts: u64,
 }
 
+/// The position of an empty store; a watch from zero asks for everything.
+const FIRST_POSITION: u64 = 1;
+
 /// A stand-in for the platform.
 #[derive(Debug)]
 pub struct PlatformStandin {
@@ -51,7 +54,7 @@
     pub(crate) changed: watch::Sender<u64>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Store {
     pub objects: BTreeMap<String, Object>,
     pub position: u64,
@@ -61,6 +64,19 @@
     pub copy: (BTreeMap<String, Object>, u64),
 }
 
+impl Default for Store {
+    fn default() -> Self {
+        Self {
+            objects: BTreeMap::new(),
+            position: FIRST_POSITION,
+            faults: PlatformFaults::default(),
+            counters: PlatformCounters::default(),
+            hosts: Vec::new(),
+            copy: (BTreeMap::new(), FIRST_POSITION),
+        }
+    }
+}
+
 impl PlatformStandin {
     /// Creates an empty platform.
     pub fn new() -> Arc<Self> {
@@ -127,7 +143,6 @@
             .filter(|object| after > 0 || object.value.is_some())
             .cloned()
             .collect();
-        // Positions start at one, as zero asks for everything.
-        Listing { position: store.position.max(1), objects }
+        Listing { position: store.position, objects }
     }
 }
