What an entry knows of crashes stands apart from how it learns of them

A quarantine is counted and logged once, as it begins; the fourth crash of a request counted again. The start of a crashed server is that known when its connection ended: read at the confirmation, a start known late gave one crash two names. The rest is renamed and moved.

--- a/crates/bilberry-core/src/crash_ledger.rs
+++ b/crates/bilberry-core/src/crash_ledger.rs
@@ -36,7 +36,7 @@
 /// How many requests are kept; those known least long and not in quarantine give way.
 const MAX_REQUESTS: usize = 20_000;
 
-/// How long a request that ran to its end is taken to be innocent of a crash.
+/// How long after it ran to its end a request is not blamed for a crash.
 const SERVED_MS: u64 = 10_000;
 
 /// A crash of a server during a run of a request.
@@ -50,7 +50,7 @@
     pub is_void: bool,
 }
 
-/// How a request stands.
+/// Whether and how a request may be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
     /// It is sent like any other.
@@ -127,7 +127,7 @@
     }
 
     /// Voids the crashes of a request that has run to its end; returns what changed.
-    pub fn acquit(&mut self, request: RequestKey) -> Vec<CrashReport> {
+    pub fn void_crashes(&mut self, request: RequestKey) -> Vec<CrashReport> {
         let Some(crashes) = self.requests.get_mut(&request) else { return Vec::new() };
         let counted = crashes.reports.iter_mut().filter(|report| !report.is_void);
         let voided = counted.map(|report| {
--- a/crates/bilberry-core/tests/crash_ledger.rs
+++ b/crates/bilberry-core/tests/crash_ledger.rs
@@ -66,7 +66,7 @@
 #[test]
 fn a_request_that_ran_to_its_end_is_not_blamed_for_crashes_before() {
     let mut ledger = ledger(&[crash(1, 1), crash(1, 2), crash(1, 3)]);
-    assert_eq!(ledger.acquit(RequestKey(1)).len(), 3);
+    assert_eq!(ledger.void_crashes(RequestKey(1)).len(), 3);
     assert_eq!(ledger.standing(RequestKey(1), NOW), Standing::Good);
     assert!(!ledger.merge(crash(1, 2), NOW), "a late witness of a void crash");
     (4..7).for_each(|server| {
--- a/crates/bilberry-gateway/src/crashes.rs
+++ b/crates/bilberry-gateway/src/crashes.rs
@@ -6,15 +6,12 @@
 //! through a few sidecars, which also replay them to entries that connect later.
 
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use bilberry_core::Clock;
-use bilberry_core::CrashLedger;
 use bilberry_core::CrashReport;
 use bilberry_core::Name;
 use bilberry_core::RequestKey;
-use bilberry_core::ServedRequests;
 use bilberry_core::Standing;
 use bilberry_core::UnixMs;
 use bilberry_wire::Body;
@@ -30,6 +27,7 @@
 use crate::Upstream;
 use crate::connections::ConnectError;
 use crate::connections::connect;
+use crate::known_crashes::Merged;
 
 /// How long the confirmation of a crash is waited for; sidecars report one within a
 /// tenth of a second.
@@ -42,50 +40,6 @@
 /// How many sidecars relay a report, so that the loss of one loses none.
 const RELAYS: usize = 3;
 
-/// What an entry knows of crashes and of the requests that ran at them.
-#[derive(Debug, Default)]
-pub(crate) struct KnownCrashes {
-    ledger: Mutex<CrashLedger>,
-    served: Mutex<ServedRequests>,
-}
-
-impl KnownCrashes {
-    /// Merges reports; returns those that were not known.
-    fn merge(&self, reports: Vec<CrashReport>, now: UnixMs) -> Vec<CrashReport> {
-        let mut ledger = self.ledger.lock().unwrap();
-        let mut news = reports;
-        news.retain(|report| ledger.merge(*report, now));
-        news
-    }
-
-    /// Records that a request ran to its end; returns the crashes that are void now.
-    fn record_served(&self, request: RequestKey, now: UnixMs) -> Vec<CrashReport> {
-        self.served.lock().unwrap().record(request, now);
-        self.ledger.lock().unwrap().acquit(request)
-    }
-
-    /// Voids the crashes of requests that ran to their end here shortly before.
-    fn acquit_served(&self, reports: &[CrashReport], now: UnixMs) -> Vec<CrashReport> {
-        let served = self.served.lock().unwrap();
-        let innocent = reports.iter().map(|report| report.request);
-        let innocent: Vec<_> =
-            innocent.filter(|key| served.contains(*key, now)).collect();
-        let mut ledger = self.ledger.lock().unwrap();
-        innocent.into_iter().flat_map(|key| ledger.acquit(key)).collect()
-    }
-
-    /// Returns how a request stands.
-    pub(crate) fn standing(&self, request: RequestKey, now: UnixMs) -> Standing {
-        self.ledger.lock().unwrap().standing(request, now)
-    }
-
-    /// Returns the notices that a sidecar gets as it connects.
-    pub(crate) fn notices(&self, now: UnixMs) -> Vec<CrashNotice> {
-        let reports = self.ledger.lock().unwrap().reports_on_suspects(now);
-        CrashNotice::of(&reports).collect()
-    }
-}
-
 impl<D: Dialect, C: Clock> Gateway<D, C> {
     /// Records that a run's connection ended early, and later whether its upstream crashed.
     ///
@@ -102,7 +56,7 @@
         let is_followed = upstream.is_followed(now);
         let gateway = self.clone();
         let upstream = upstream.clone();
-        let run = CrashedRun::new(job, now);
+        let run = InterruptedRun::new(job, &upstream, now);
         tokio::spawn(async move {
             if has_crashed(&upstream, is_followed).await {
                 gateway.metrics.crashed_runs.inc();
@@ -110,22 +64,18 @@
                     true => run.log(&upstream),
                     false => drop(gateway.metrics.dropped_lines.inc()),
                 }
-                let server = server_hash(&upstream);
-                let report = CrashReport { request: run.key, server, is_void: false };
-                gateway.merge_crashes(vec![report], true);
+                gateway.merge_crashes(vec![run.report()], Origin::Own);
             }
         });
     }
 
     /// Merges the crashes that a sidecar relays.
     pub(crate) fn merge_crash_notice(&self, notice: CrashNotice) {
-        self.merge_crashes(
-            notice.runs.into_iter().map(CrashReport::from).collect(),
-            false,
-        );
+        let reports = notice.runs.into_iter().map(CrashReport::from).collect();
+        self.merge_crashes(reports, Origin::Relayed);
     }
 
-    /// Records that a request ran to its end, which acquits it.
+    /// Records that a request ran to its end, so that it is not blamed for crashes before.
     pub(crate) fn record_served(&self, job: &Job) {
         let now = self.clock.now();
         let voided = self.crashes.record_served(job.key, now);
@@ -153,25 +103,20 @@
         job.may_run_after(runs) && !self.is_suspect(job)
     }
 
-    /// Merges reports, logs what follows from them, and shares those of this entry's own.
-    fn merge_crashes(&self, reports: Vec<CrashReport>, is_own: bool) {
+    /// Merges reports, logs the quarantines that begin, and shares those of this entry's own.
+    fn merge_crashes(&self, reports: Vec<CrashReport>, origin: Origin) {
         let now = self.clock.now();
-        let news = self.crashes.merge(reports, now);
-        let voided = self.crashes.acquit_served(&news, now);
-        news.iter().filter(|report| !report.is_void).for_each(|report| {
-            if let Standing::Quarantined { until } =
-                self.crashes.standing(report.request, now)
-            {
-                self.metrics.quarantines.inc();
-                log::warn!(
-                    target: "crash",
-                    key = report.request.to_string().as_str(),
-                    for_ms = until.ms_since(now);
-                    "request quarantined, it crashed the servers that ran it"
-                );
-            }
-        });
-        let own = if is_own { news } else { Vec::new() };
+        let Merged { news, voided, quarantined } = self.crashes.merge(reports, now);
+        for (request, until) in quarantined {
+            self.metrics.quarantines.inc();
+            log::warn!(
+                target: "crash",
+                key = request.to_string().as_str(),
+                for_ms = until.ms_since(now);
+                "request quarantined, it crashed the servers that ran it"
+            );
+        }
+        let own = if origin == Origin::Own { news } else { Vec::new() };
         self.share_crashes(own.into_iter().chain(voided).collect());
     }
 
@@ -195,28 +140,43 @@
     }
 }
 
+/// Who saw the crashes of a report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Origin {
+    /// This entry.
+    Own,
+    /// Another one; a sidecar relayed it.
+    Relayed,
+}
+
 /// A run whose connection ended before its answer was whole.
 #[derive(Debug)]
-struct CrashedRun {
+struct InterruptedRun {
     attempt: Name,
     key: RequestKey,
     customer: Name,
     path: String,
+    server: u64,
     ran_ms: u64,
 }
 
-impl CrashedRun {
-    fn new(job: &Job, now: UnixMs) -> Self {
+impl InterruptedRun {
+    fn new(job: &Job, upstream: &Upstream, now: UnixMs) -> Self {
         let customer = job.customer.as_ref();
         Self {
             attempt: job.call.attempt.clone(),
             key: job.key,
             customer: customer.map(|c| c.name.clone()).unwrap_or_default(),
             path: job.uri.path().to_string(),
+            server: server_hash(upstream),
             ran_ms: now.ms_since(job.sent_at),
         }
     }
 
+    fn report(&self) -> CrashReport {
+        CrashReport { request: self.key, server: self.server, is_void: false }
+    }
+
     fn log(&self, upstream: &Upstream) {
         log::warn!(
             target: "crash",
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -34,7 +34,7 @@
 use crate::SidecarSigns;
 use crate::Upstream;
 use crate::Upstreams;
-use crate::crashes::KnownCrashes;
+use crate::known_crashes::KnownCrashes;
 
 /// The bounds and identity that an entry is started with.
 #[derive(Debug, Clone)]
--- a/crates/bilberry-gateway/src/lib.rs
+++ b/crates/bilberry-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod held;
 mod hubs;
 mod job;
+mod known_crashes;
 mod listed;
 mod metrics;
 mod pace;
