--- a/crates/bilberry-core/src/lib.rs
+++ b/crates/bilberry-core/src/lib.rs
@@ -127,7 +127,7 @@
 pub use run_end::Reach;
 pub use run_end::Reaching;
 pub use run_end::RunEnd;
-pub use run_end::SidecarWord;
+pub use run_end::SidecarStatus;
 pub use shared_budget::BudgetTerms;
 pub use shared_budget::Repeat;
 pub use shared_budget::SharedBudget;
--- a/crates/bilberry-core/src/run_end.rs
+++ b/crates/bilberry-core/src/run_end.rs
@@ -21,14 +21,14 @@
     Silent,
 }
 
-/// What the sidecar on an engine's host says of it.
+/// What the sidecar on an engine's host reports of it.
 #[derive(Debug, Copy, Clone, PartialEq, Eq)]
-pub enum SidecarWord {
+pub enum SidecarStatus {
     /// The engine answers it.
     Up,
     /// The engine does not answer it.
     Down,
-    /// Nothing was heard of it lately.
+    /// It has sent no update lately.
     Silent,
 }
 
@@ -75,7 +75,7 @@
     pub fn note(
         &mut self,
         reach: Reach,
-        sidecar: SidecarWord,
+        sidecar: SidecarStatus,
         stream_is_open: bool,
     ) -> Option<RunEnd> {
         self.silent_in_a_row = match reach {
@@ -87,7 +87,7 @@
             Reach::Refused => Some(RunEnd::Refused),
             Reach::Silent
                 if self.silent_in_a_row >= SILENT_CONNECTIONS
-                    && sidecar != SidecarWord::Up =>
+                    && sidecar != SidecarStatus::Up =>
             {
                 Some(RunEnd::OutOfReach)
             }
--- a/crates/bilberry-core/tests/run_end.rs
+++ b/crates/bilberry-core/tests/run_end.rs
@@ -3,18 +3,18 @@
 use bilberry_core::Reach;
 use bilberry_core::Reaching;
 use bilberry_core::RunEnd;
-use bilberry_core::SidecarWord;
+use bilberry_core::SidecarStatus;
 use proptest::prelude::Just;
 use proptest::prelude::Strategy;
 use proptest::prelude::prop_oneof;
 use proptest::proptest;
 
-fn reaches() -> impl Strategy<Value = Vec<(Reach, SidecarWord)>> {
+fn reaches() -> impl Strategy<Value = Vec<(Reach, SidecarStatus)>> {
     let reach = prop_oneof![Just(Reach::Taken), Just(Reach::Silent)];
     let word = prop_oneof![
-        Just(SidecarWord::Up),
-        Just(SidecarWord::Down),
-        Just(SidecarWord::Silent)
+        Just(SidecarStatus::Up),
+        Just(SidecarStatus::Down),
+        Just(SidecarStatus::Silent)
     ];
     proptest::collection::vec((reach, word), 0..40)
 }
@@ -34,7 +34,7 @@
             if let Some(end) = reaching.note(reach, word, false) {
                 assert_eq!(end, RunEnd::OutOfReach);
                 assert!(at + 1 - last_taken >= 3);
-                assert!(word != SidecarWord::Up);
+                assert!(word != SidecarStatus::Up);
             }
         }
     }
@@ -46,7 +46,7 @@
     // acknowledged, no new one is answered and its sidecar is silent.
     let mut reaching = Reaching::default();
     let ends: Vec<_> = (0..3)
-        .map(|_| reaching.note(Reach::Silent, SidecarWord::Silent, false))
+        .map(|_| reaching.note(Reach::Silent, SidecarStatus::Silent, false))
         .collect();
     assert_eq!(ends, [None, None, Some(RunEnd::OutOfReach)]);
 }
@@ -54,7 +54,7 @@
 #[test]
 fn a_port_on_which_nothing_listens_ends_a_run_at_once() {
     let mut reaching = Reaching::default();
-    let end = reaching.note(Reach::Refused, SidecarWord::Silent, false);
+    let end = reaching.note(Reach::Refused, SidecarStatus::Silent, false);
     assert_eq!(end, Some(RunEnd::Refused));
 }
 
@@ -64,7 +64,7 @@
     // leaves, or its queue of them is full, and it works on. The stream's connection is
     // open, so its host is there, whatever is heard of the sidecar.
     let mut reaching = Reaching::default();
-    for word in [SidecarWord::Up, SidecarWord::Down, SidecarWord::Silent] {
+    for word in [SidecarStatus::Up, SidecarStatus::Down, SidecarStatus::Silent] {
         assert_eq!(reaching.note(Reach::Refused, word, true), None);
         let silent = (0..9).filter_map(|_| reaching.note(Reach::Silent, word, true));
         assert_eq!(silent.count(), 0);
@@ -76,6 +76,6 @@
     // The connection was lost between entry and engine, and new ones get no sign either.
     let mut reaching = Reaching::default();
     let ends =
-        (0..9).filter_map(|_| reaching.note(Reach::Silent, SidecarWord::Up, false));
+        (0..9).filter_map(|_| reaching.note(Reach::Silent, SidecarStatus::Up, false));
     assert_eq!(ends.count(), 0);
 }
--- a/crates/bilberry-gateway/src/stopping.rs
+++ b/crates/bilberry-gateway/src/stopping.rs
@@ -142,7 +142,7 @@
             Err(ConnectError::Silent(_)) => Reach::Silent,
             Err(ConnectError::Failed(_)) => return None,
         };
-        let sidecar = run.upstream.sidecar_word(self.clock.now());
+        let sidecar = run.upstream.sidecar_status(self.clock.now());
         let stream_is_open = run.stream_is_open.load(Ordering::Relaxed);
         match (reaching.note(reach, sidecar, stream_is_open), connected) {
             (Some(end), _) => Some(FirstRun::Over(end)),
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -10,7 +10,7 @@
 use bilberry_core::Incarnation;
 use bilberry_core::Name;
 use bilberry_core::Offer;
-use bilberry_core::SidecarWord;
+use bilberry_core::SidecarStatus;
 use bilberry_core::StorePosition;
 use bilberry_core::UnixMs;
 use bilberry_core::Weights;
@@ -455,12 +455,12 @@
         queue.as_ref().is_some_and(|queue| queue.try_send(message).is_ok())
     }
 
-    /// Returns what its sidecar says of it.
-    pub fn sidecar_word(&self, now: UnixMs) -> SidecarWord {
+    /// Returns what its sidecar reports of it.
+    pub fn sidecar_status(&self, now: UnixMs) -> SidecarStatus {
         match self.live.lock().unwrap().fresh_feed(now) {
-            Some(state) if state.up => SidecarWord::Up,
-            Some(_) => SidecarWord::Down,
-            None => SidecarWord::Silent,
+            Some(state) if state.up => SidecarStatus::Up,
+            Some(_) => SidecarStatus::Down,
+            None => SidecarStatus::Silent,
         }
     }
 
