--- a/crates/bilberry-gateway/src/stopping.rs
+++ b/crates/bilberry-gateway/src/stopping.rs
@@ -84,22 +84,22 @@
     }
 }
 
-/// How patiently an engine is asked to stop a run.
+/// The growing waits between calls that ask an engine to stop a run.
 ///
-/// Each wait is twice as long after a call in vain, so that the calls to an engine that
+/// Each wait is twice as long after a failed call, so that the calls to an engine that
 /// stands still do not fill its queue of connections, nor burden one that does not say
 /// what became of the run.
-struct Patience {
+struct Backoff {
     answer_within: Duration,
     pause: Duration,
 }
 
-impl Patience {
+impl Backoff {
     fn new() -> Self {
         Self { answer_within: STOP_ANSWER, pause: PAUSE }
     }
 
-    fn after_a_call_in_vain(&mut self) {
+    fn after_failed_attempt(&mut self) {
         self.answer_within = (self.answer_within * 2).min(MOST_STOP_ANSWER);
         self.pause = (self.pause * 2).min(MOST_PAUSE);
     }
@@ -110,18 +110,18 @@
     pub(crate) async fn end_run(&self, run: &DoubtfulRun) -> FirstRun {
         let began_at = self.clock.now();
         let mut reaching = Reaching::default();
-        let mut patience = Patience::new();
+        let mut backoff = Backoff::new();
         loop {
-            let ended = self.try_to_end(run, &mut reaching, &patience).await;
+            let ended = self.try_to_end(run, &mut reaching, &backoff).await;
             if let Some(first_run) = ended {
                 let took_ms = self.clock.now().ms_since(began_at);
                 log_end(run, &first_run, took_ms);
                 return first_run;
             }
             run.upstream.note_failure(self.clock.now());
-            sleep(patience.pause).await;
+            sleep(backoff.pause).await;
             if run.was_asked_to_stop() {
-                patience.after_a_call_in_vain();
+                backoff.after_failed_attempt();
             }
         }
     }
@@ -130,7 +130,7 @@
         &self,
         run: &DoubtfulRun,
         reaching: &mut Reaching,
-        patience: &Patience,
+        backoff: &Backoff,
     ) -> Option<FirstRun> {
         if run.upstream.has_ended() {
             return Some(FirstRun::Over(RunEnd::StartedAnew));
@@ -148,7 +148,7 @@
             (Some(end), _) => Some(FirstRun::Over(end)),
             (None, Ok(connection)) if run.can_be_stopped => {
                 let stopping = self.stop_run(run, connection);
-                timeout(patience.answer_within, stopping).await.ok()?
+                timeout(backoff.answer_within, stopping).await.ok()?
             }
             (None, _) => None,
         }
