--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -180,7 +180,7 @@
         let mut connection = match connected {
             Ok(connection) => connection,
             Err(_) => {
-                upstream.note_failure(self.clock.now());
+                upstream.record_failure(self.clock.now());
                 self.connections.drop_idle(upstream.address);
                 return Sent::NotRun(NOT_CONNECTED);
             }
@@ -197,7 +197,7 @@
                 Err(SendError::Unanswered("the upstream is down".to_string()))
             }
             _ = sleep(silence(job, upstream.is_followed(now))), if may_repeat => {
-                upstream.note_failure(self.clock.now());
+                upstream.record_failure(self.clock.now());
                 return Sent::Unclear("silent");
             }
             _ = sleep(left) => return Sent::Expired,
@@ -205,11 +205,11 @@
         match sent {
             Ok(response) => self.judge(job, response, connection, seat),
             Err(SendError::NotSent(_)) => {
-                upstream.note_failure(self.clock.now());
+                upstream.record_failure(self.clock.now());
                 Sent::NotRun(NOT_CONNECTED)
             }
             Err(SendError::Unanswered(_)) => {
-                upstream.note_failure(self.clock.now());
+                upstream.record_failure(self.clock.now());
                 self.record_interrupted_run(job, &upstream);
                 self.connections.drop_idle(upstream.address);
                 Sent::Unclear("no_answer")
@@ -270,11 +270,11 @@
                 Sent::Answered(Box::new(Answer { response, connection, seat }))
             }
             Verdict::Busy => {
-                seat.upstream.note_busy(self.clock.now(), BUSY_PAUSE_MS);
+                seat.upstream.record_busy(self.clock.now(), BUSY_PAUSE_MS);
                 Sent::NotRun("busy")
             }
             Verdict::OtherWeights => {
-                seat.upstream.note_busy(self.clock.now(), BUSY_PAUSE_MS);
+                seat.upstream.record_busy(self.clock.now(), BUSY_PAUSE_MS);
                 Sent::NotRun("other_weights")
             }
             Verdict::Replaced => {
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -127,7 +127,7 @@
                 Passed::Done(ended) => return ended,
             };
             let upstream = answer.seat.upstream.clone();
-            upstream.note_failure(self.clock.now());
+            upstream.record_failure(self.clock.now());
             if reason != SILENT && reason != NO_EVENT {
                 self.record_interrupted_run(job, &upstream);
             }
@@ -263,7 +263,7 @@
             sidecar_heard = is_followed();
             "silent, to be stopped"
         );
-        run.upstream.note_failure(self.clock.now());
+        run.upstream.record_failure(self.clock.now());
         run
     }
 
--- a/crates/bilberry-gateway/src/stopping.rs
+++ b/crates/bilberry-gateway/src/stopping.rs
@@ -118,7 +118,7 @@
                 log_end(run, &first_run, took_ms);
                 return first_run;
             }
-            run.upstream.note_failure(self.clock.now());
+            run.upstream.record_failure(self.clock.now());
             sleep(backoff.pause).await;
             if run.was_asked_to_stop() {
                 backoff.after_failed_attempt();
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -334,7 +334,7 @@
     }
 
     /// Notes that the upstream gave no answer, and leaves it alone for a while.
-    pub fn note_failure(&self, now: UnixMs) {
+    pub fn record_failure(&self, now: UnixMs) {
         let mut live = self.live.lock().unwrap();
         let pause_ms = FIRST_SUSPICION_MS << live.failures.min(3);
         live.failures += 1;
@@ -343,7 +343,7 @@
     }
 
     /// Leaves the upstream alone for `pause_ms`, as it said that it is full.
-    pub fn note_busy(&self, now: UnixMs, pause_ms: u64) {
+    pub fn record_busy(&self, now: UnixMs, pause_ms: u64) {
         let mut live = self.live.lock().unwrap();
         live.suspect_until = live.suspect_until.max(now.plus_ms(pause_ms));
     }
@@ -411,7 +411,7 @@
         let used_tokens = (fed_tokens + unseen_tokens).max(live.reserved_tokens);
         Offer {
             seed: self.seed,
-            usable: live.takes_work(now),
+            usable: live.is_eligible(now),
             same_place: self.place == own_place,
             free_slots: room.saturating_sub(present),
             free_tokens: total_tokens.map_or(u64::MAX, |t| t.saturating_sub(used_tokens)),
--- a/crates/bilberry-gateway/src/upstream/live.rs
+++ b/crates/bilberry-gateway/src/upstream/live.rs
@@ -89,7 +89,7 @@
         self.leaving || self.fresh_feed(now).is_some_and(|state| !state.up)
     }
 
-    pub(super) fn takes_work(&self, now: UnixMs) -> bool {
+    pub(super) fn is_eligible(&self, now: UnixMs) -> bool {
         let fed = self.fresh_feed(now).is_none_or(|state| state.up && !state.loading);
         let is_free = self.confirmed || self.in_progress == 0;
         let is_free = is_free && (!self.doubtful || self.trials == 0);
--- a/crates/bilberry-gateway/tests/incarnations.rs
+++ b/crates/bilberry-gateway/tests/incarnations.rs
@@ -151,12 +151,12 @@
     for by_list in [true, false] {
         let upstreams = known();
         let earlier = present(&upstreams);
-        earlier.note_failure(NOW);
+        earlier.record_failure(NOW);
         earlier.leave();
         assert!(!offer(&upstreams).usable);
         restarts(&upstreams, by_list);
         assert!(offer(&upstreams).usable);
-        earlier.note_failure(NOW);
+        earlier.record_failure(NOW);
         assert!(offer(&upstreams).usable);
     }
 }
--- a/crates/bilberry-gateway/tests/knowledge.rs
+++ b/crates/bilberry-gateway/tests/knowledge.rs
@@ -115,12 +115,12 @@
     );
     engine.forget_feed();
     assert!(engine.holds(7, at(100)));
-    engine.note_failure(at(200));
+    engine.record_failure(at(200));
     assert!(!engine.holds(7, at(200)));
     // An answer says that it was not gone after all.
     engine.note_answer();
     assert!(engine.holds(7, at(300)));
-    engine.note_failure(at(400));
+    engine.record_failure(at(400));
     engine.feed(idle(), at(500));
     assert!(engine.holds(7, at(500)));
     // No event says when a part ends while nobody listens, so it runs out.
@@ -136,9 +136,9 @@
     assert!(engine.lives(at(0)));
     engine.feed(idle(), at(0));
     engine.forget_feed();
-    engine.note_busy(at(0), 60);
+    engine.record_busy(at(0), 60);
     assert!(engine.lives(at(10)));
-    engine.note_failure(at(100));
+    engine.record_failure(at(100));
     assert!(!engine.lives(at(5_000)));
     engine.note_answer();
     assert!(engine.lives(at(5_000)));
