A request whose caller leaves before the crash is blamed all the same

What callers saw: nothing more of their own request, and everybody else the loss of one engine after the other. An entry closes the connection of a caller that left; an engine may run the request and crash, and a run that the entry itself had ended was recorded nowhere.

Now a run that its caller abandoned counts as in progress at a crash that the sidecar reports within half a second. Only a send that may run counts: one that was not taken does not.

--- a/crates/bilberry-gateway/src/crashes.rs
+++ b/crates/bilberry-gateway/src/crashes.rs
@@ -16,6 +16,7 @@
 use bilberry_core::UnixMs;
 use bilberry_wire::Body;
 use bilberry_wire::CrashNotice;
+use tokio::runtime::Handle;
 use tokio::time::sleep;
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
@@ -33,6 +34,9 @@
 /// tenth of a second.
 const CONFIRM_WITHIN: Duration = Duration::from_secs(2);
 
+/// The same after a caller left; many do so at a slow engine, whatever crashes it later.
+const ABANDONED_WITHIN: Duration = Duration::from_millis(500);
+
 /// How long after a connection ended an upstream without a sidecar is probed, so that a
 /// process that is about to exit has closed its listening socket.
 const PROBE_AFTER: Duration = Duration::from_millis(50);
@@ -52,13 +56,37 @@
         if upstream.is_leaving() && !upstream.has_ended() {
             return;
         }
-        let now = self.clock.now();
-        let is_followed = upstream.is_followed(now);
+        let confirmation = match upstream.is_followed(self.clock.now()) {
+            true => Confirmation::BySidecar { within: CONFIRM_WITHIN },
+            false => Confirmation::ByProbe,
+        };
+        self.watch_for_crash(job, upstream, confirmation);
+    }
+
+    /// Records that a caller left while its request may still run, and later whether the
+    /// upstream crashed; an engine may run a request whose connection is closed.
+    pub(crate) fn record_abandoned_run(self: &Arc<Self>, job: &Job) {
+        let Some(upstream) = &job.sent_to else { return };
+        if !upstream.is_leaving() && upstream.is_followed(self.clock.now()) {
+            let within = ABANDONED_WITHIN;
+            self.watch_for_crash(job, upstream, Confirmation::BySidecar { within });
+        }
+    }
+
+    /// Reports a run as in progress at a crash once that is confirmed.
+    fn watch_for_crash(
+        self: &Arc<Self>,
+        job: &Job,
+        upstream: &Arc<Upstream>,
+        confirmation: Confirmation,
+    ) {
+        // A caller may also leave as the process ends.
+        let Ok(runtime) = Handle::try_current() else { return };
+        let run = InterruptedRun::new(job, upstream, self.clock.now());
         let gateway = self.clone();
         let upstream = upstream.clone();
-        let run = InterruptedRun::new(job, &upstream, now);
-        tokio::spawn(async move {
-            if has_crashed(&upstream, is_followed).await {
+        runtime.spawn(async move {
+            if has_crashed(&upstream, confirmation).await {
                 gateway.metrics.crashed_runs.inc();
                 match gateway.lines.spend(gateway.clock.now(), false) {
                     true => run.log(&upstream),
@@ -191,13 +219,26 @@
     }
 }
 
-/// Returns whether an upstream that has closed a connection has crashed.
-async fn has_crashed(upstream: &Upstream, is_followed: bool) -> bool {
-    if is_followed || upstream.has_ended() {
-        return timeout(CONFIRM_WITHIN, upstream.lost()).await.is_ok();
+/// How the crash of an upstream is confirmed.
+#[derive(Debug, Clone, Copy)]
+enum Confirmation {
+    /// Its sidecar reports it, or a later start, in time.
+    BySidecar { within: Duration },
+    /// It refuses a new connection.
+    ByProbe,
+}
+
+async fn has_crashed(upstream: &Upstream, confirmation: Confirmation) -> bool {
+    match confirmation {
+        Confirmation::BySidecar { within } => {
+            timeout(within, upstream.lost()).await.is_ok()
+        }
+        Confirmation::ByProbe if upstream.has_ended() => true,
+        Confirmation::ByProbe => {
+            sleep(PROBE_AFTER).await;
+            matches!(connect(upstream.address).await, Err(ConnectError::Refused))
+        }
     }
-    sleep(PROBE_AFTER).await;
-    matches!(connect(upstream.address).await, Err(ConnectError::Refused))
 }
 
 /// Returns a hash of an upstream's identity and start that all entries agree on.
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -109,6 +109,7 @@
                     return Ok(*answer);
                 }
                 Sent::NotRun(reason) => {
+                    job.sent_to = None;
                     self.metrics.count_send(reason);
                     job.detail = reason.to_string();
                     self.check_another_send(job)?;
@@ -188,6 +189,7 @@
         job.sends += 1;
         let now = self.clock.now();
         job.sent_at = now;
+        job.sent_to = Some(upstream.clone());
         let repeatable = job.route.kind.is_repeatable();
         let may_repeat = self.may_run_after(job, job.runs + 1);
         let left = job.deadline.left(now);
@@ -231,6 +233,7 @@
         let mut connection = self.connections.get(upstream.address, true).await.ok()?;
         job.sends += 1;
         job.sent_at = self.clock.now();
+        job.sent_to = Some(upstream.clone());
         let left = job.deadline.left(job.sent_at);
         let sent = timeout(left, connection.send(request)).await.ok()?;
         let response = match sent {
--- a/crates/bilberry-gateway/src/job.rs
+++ b/crates/bilberry-gateway/src/job.rs
@@ -55,6 +55,8 @@
     pub sends: u32,
     /// When it was last sent.
     pub sent_at: UnixMs,
+    /// The upstream that it was last sent to and may run at.
+    pub sent_to: Option<Arc<Upstream>>,
     /// How many of these sends may have run.
     pub runs: u32,
     /// The upstream that keeps a copy of its memory.
--- a/crates/bilberry-gateway/src/plain_answer.rs
+++ b/crates/bilberry-gateway/src/plain_answer.rs
@@ -79,6 +79,9 @@
         let started = self.caller_answer(answer.response.status(), head, body);
         tokio::spawn(async move {
             let ended = self.pass_all(&job, &mut answer, begun, &pieces).await;
+            if ended == Ended::CallerLeft {
+                self.record_abandoned_run(&job);
+            }
             self.conclude(&job, ended.outcome());
             if ended == Ended::Whole {
                 self.keep_connection(answer);
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -97,6 +97,9 @@
         );
         tokio::spawn(async move {
             let ended = self.relay_all(&mut job, answer, &pieces).await;
+            if ended == Ended::CallerLeft {
+                self.record_abandoned_run(&job);
+            }
             self.conclude(&job, ended.outcome());
             if ended == Ended::Whole {
                 self.note_pace(&job);
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -155,6 +155,7 @@
             tried: Vec::new(),
             sends: 0,
             sent_at: arrived_at,
+            sent_to: None,
             runs: 0,
             backup: None,
             weights: None,
@@ -302,6 +303,7 @@
 impl<D: Dialect, C: Clock> Drop for CallerGuard<D, C> {
     fn drop(&mut self) {
         if let Some(job) = &self.job {
+            self.gateway.record_abandoned_run(job);
             self.gateway.conclude(job, "caller_left");
         }
     }
