A crash is held against one request, that with the most crashes

The request that crashes engines took all three within a second; eight callers' identical requests had run at each of them, none to its end yet, so they had three crashes as well and were rejected with it. Once rejected a request never runs again to show that it crashes nothing: callers were locked out for ten minutes.

A crash has one cause. Requests with three crashes or more are ranked by how many they have; each is rejected only if three of its crashes are not explained by those before it. A request that ran beside a crashing one stays suspect: it is sent once an attempt, and acquits itself as it ends. One that is taken for the cause wrongly crashes nothing more, while the true cause gets more crashes, or three unexplained ones, so it is found after three more at the latest.

--- a/crates/bilberry-core/src/crash_ledger.rs
+++ b/crates/bilberry-core/src/crash_ledger.rs
@@ -5,12 +5,15 @@
 //! servers of a service one after the other, with all that runs there.
 //!
 //! A crash also cuts requests that have nothing to do with it. A request that has run to its
-//! end did not cause the crashes known by then, so these are void for it.
+//! end did not cause the crashes known by then, so these are void for it. And a crash has one
+//! cause: those of the request with the most crashes count against no other.
 //!
 //! Reports form a set that only grows, from unknown over counted to void, so they may be
 //! merged in any order, repeated and relayed by anybody.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
+use std::collections::HashSet;
 
 use crate::RequestKey;
 use crate::UnixMs;
@@ -68,6 +71,10 @@
 #[derive(Debug, Default)]
 pub struct CrashLedger {
     requests: HashMap<RequestKey, Crashes>,
+    /// The requests with enough crashes to be rejected.
+    candidates: HashSet<RequestKey>,
+    /// Those of them that caused crashes, by the present reports.
+    blamed: HashSet<RequestKey>,
 }
 
 /// The crashes during runs of one request.
@@ -78,14 +85,19 @@
 }
 
 impl Crashes {
+    fn servers(&self) -> impl Iterator<Item = u64> {
+        let counted = self.reports.iter().filter(|report| !report.is_void);
+        counted.map(|report| report.server)
+    }
+
     fn counted(&self) -> usize {
-        self.reports.iter().filter(|report| !report.is_void).count()
+        self.servers().count()
     }
 
-    fn standing(&self, now: UnixMs) -> Standing {
+    fn standing(&self, is_blamed: bool, now: UnixMs) -> Standing {
         let until = self.last_at.plus_ms(QUARANTINE_MS);
         match self.counted() {
-            count if count >= QUARANTINE_AFTER && !until.has_passed_at(now) => {
+            _ if is_blamed && !until.has_passed_at(now) => {
                 Standing::Quarantined { until }
             }
             count if count >= SUSPECT_AFTER => Standing::Suspect,
@@ -97,6 +109,14 @@
 impl CrashLedger {
     /// Merges a report; returns whether it changes anything.
     pub fn merge(&mut self, report: CrashReport, now: UnixMs) -> bool {
+        let is_news = self.insert(report, now);
+        if is_news {
+            self.update_blame(report.request);
+        }
+        is_news
+    }
+
+    fn insert(&mut self, report: CrashReport, now: UnixMs) -> bool {
         self.make_room(report.request, now);
         let fresh = || Crashes { reports: Vec::new(), last_at: now };
         let crashes = self.requests.entry(report.request).or_insert_with(fresh);
@@ -134,14 +154,19 @@
             report.is_void = true;
             *report
         });
-        voided.collect()
+        let voided: Vec<_> = voided.collect();
+        if !voided.is_empty() {
+            self.update_blame(request);
+        }
+        voided
     }
 
     /// Returns how a request stands.
     pub fn standing(&self, request: RequestKey, now: UnixMs) -> Standing {
         let crashes = self.requests.get(&request);
         let crashes = crashes.filter(|crashes| !is_forgotten(crashes, now));
-        crashes.map_or(Standing::Good, |crashes| crashes.standing(now))
+        let is_blamed = self.blamed.contains(&request);
+        crashes.map_or(Standing::Good, |crashes| crashes.standing(is_blamed, now))
     }
 
     /// Returns all reports on requests that are not forgotten.
@@ -153,11 +178,47 @@
 
     /// Returns the reports on requests that are suspect or in quarantine.
     pub fn reports_on_suspects(&self, now: UnixMs) -> Vec<CrashReport> {
-        let crashes = self.requests.values();
-        let crashes = crashes.filter(|crashes| {
-            !is_forgotten(crashes, now) && crashes.standing(now) != Standing::Good
-        });
-        crashes.flat_map(|crashes| &crashes.reports).copied().collect()
+        let suspects = self.requests.iter();
+        let suspects = suspects
+            .filter(|(request, _)| self.standing(**request, now) != Standing::Good);
+        suspects.flat_map(|(_, crashes)| &crashes.reports).copied().collect()
+    }
+
+    /// Assigns blame anew if the crashes of a request may change it.
+    fn update_blame(&mut self, request: RequestKey) {
+        let counted = self.requests.get(&request).map_or(0, Crashes::counted);
+        let was_candidate = match counted >= QUARANTINE_AFTER {
+            true => !self.candidates.insert(request),
+            false => self.candidates.remove(&request),
+        };
+        if was_candidate || counted >= QUARANTINE_AFTER {
+            self.assign_blame();
+        }
+    }
+
+    /// Holds each crash against one request, that with the most crashes first.
+    ///
+    /// A request that ran wherever another one crashed servers would else be rejected with
+    /// it, and never run again to show that it crashes none. One that is taken for the cause
+    /// wrongly crashes no more, while the true cause gets more crashes than it, or three that
+    /// are not explained.
+    fn assign_blame(&mut self) {
+        let requests = &self.requests;
+        self.candidates.retain(|request| requests.contains_key(request));
+        let counted = |request: &RequestKey| requests[request].counted();
+        let mut ranked: Vec<_> = self.candidates.iter().copied().collect();
+        ranked.sort_unstable_by_key(|request| (Reverse(counted(request)), *request));
+        let mut explained = HashSet::new();
+        self.blamed.clear();
+        for request in ranked {
+            let crashes = &requests[&request];
+            let unexplained =
+                crashes.servers().filter(|server| !explained.contains(server));
+            if unexplained.count() >= QUARANTINE_AFTER {
+                self.blamed.insert(request);
+                explained.extend(crashes.servers());
+            }
+        }
     }
 
     /// Drops what is forgotten, and then half of the requests that are not in quarantine,
@@ -170,14 +231,13 @@
         if self.requests.len() < MAX_REQUESTS {
             return;
         }
-        let is_kept = |crashes: &Crashes| {
-            matches!(crashes.standing(now), Standing::Quarantined { .. })
-        };
-        let others = self.requests.values().filter(|crashes| !is_kept(crashes));
-        let mut times: Vec<UnixMs> = others.map(|crashes| crashes.last_at).collect();
+        let blamed = &self.blamed;
+        let others = self.requests.iter().filter(|(other, _)| !blamed.contains(*other));
+        let mut times: Vec<UnixMs> = others.map(|(_, crashes)| crashes.last_at).collect();
         times.sort_unstable();
         let Some(&median) = times.get(times.len() / 2) else { return };
-        self.requests.retain(|_, crashes| is_kept(crashes) || crashes.last_at > median);
+        self.requests
+            .retain(|other, crashes| blamed.contains(other) || crashes.last_at > median);
     }
 }
 
--- a/crates/bilberry-core/tests/crash_ledger.rs
+++ b/crates/bilberry-core/tests/crash_ledger.rs
@@ -57,6 +57,20 @@
     assert!(matches!(standings[2], Standing::Quarantined { until } if until > NOW));
 }
 
+#[test]
+fn a_request_that_ran_beside_a_crashing_one_is_sent_again() {
+    let (crashing, beside) = (1, 2);
+    let mut ledger = CrashLedger::default();
+    for server in 0..4 {
+        ledger.merge(crash(crashing, server), NOW);
+    }
+    for server in 0..3 {
+        ledger.merge(crash(beside, server), NOW);
+    }
+    assert!(is_quarantined(&ledger, crashing, NOW));
+    assert_eq!(ledger.standing(RequestKey(beside), NOW), Standing::Suspect);
+}
+
 #[test]
 fn two_witnesses_of_one_crash_count_once() {
     let ledger = ledger(&[crash(1, 7), crash(1, 7), crash(1, 7)]);
@@ -145,6 +159,29 @@
         }
     }
 
+    #[test]
+    fn a_request_is_rejected_after_three_crashes_that_nothing_else_explains(
+        reports in vec(report(), 0..40),
+    ) {
+        let mut ledger = ledger(&reports);
+        (100..103).for_each(|server| {
+            ledger.merge(crash(9, server), NOW);
+        });
+        prop_assert!(is_quarantined(&ledger, 9, NOW));
+    }
+
+    #[test]
+    fn of_two_requests_that_ran_at_the_same_crashes_one_is_rejected(
+        servers in vec(any::<u64>(), 3..10),
+        first in any::<u64>(),
+        second in any::<u64>(),
+    ) {
+        let crashes = servers.iter().flat_map(|s| [crash(first, *s), crash(second, *s)]);
+        let ledger = ledger(&crashes.collect::<Vec<_>>());
+        let is_quarantined = |request| is_quarantined(&ledger, request, NOW);
+        prop_assert!(first == second || !(is_quarantined(first) && is_quarantined(second)));
+    }
+
     #[test]
     fn nothing_is_rejected_for_fewer_than_three_servers(
         reports in vec((0..4u64, 0..2u64), 0..40),
