Compute the notice summary of a service once for all its sidecars

Callers saw requests reach engines long after they had given up: an entry that restarts under full load lags by seconds, because it has too little processor time.

For each message from each sidecar, the entry built the whole notice for that sidecar: it copied the list of peers, took three or four locks per peer, and computed a hash per peer for each store of cached prompts. Both the number of messages and the cost of a notice grow with the number of servers, so the total cost was quadratic, and highest when all sidecars reconnect at once. The comparison of all feeds with all upstreams, five times a second, was quadratic as well. Each request also checked the weights of all upstreams once more and copied the list.

A summary of each service is now computed when the list, a reported state, the named weights or the set of answering stores changes. Feeds wait for a change of the summary and build their notices from it. Several changes at once lead to one computation. Newly seen weights wake all feeds at once. The set of feeds is compared only after the list or the configuration has changed. The list of a service is shared instead of copied.

The notice to a sidecar now names the newest weights of all models of the service, instead of only those of the models listed for its own upstream.

--- a/crates/bilberry-gateway/src/backup.rs
+++ b/crates/bilberry-gateway/src/backup.rs
@@ -41,16 +41,16 @@
         }
         let now = self.clock.now();
         let weights = main.weights(model, now);
-        let candidates =
-            self.upstreams.of(&job.pool.name).into_iter().filter_map(|peer| {
-                let offer = peer.offer(now, &main.place, Some(engine));
-                let fits = offer.free_tokens >= job.call.memory_tokens();
-                let suits = peer.id != main.id && peer.weights(model, now) == weights;
-                (suits && fits && offer.usable).then_some((offer, peer))
-            });
+        let peers = self.upstreams.of(&job.pool.name);
+        let candidates = peers.iter().filter_map(|peer| {
+            let offer = peer.offer(now, &main.place, Some(engine));
+            let fits = offer.free_tokens >= job.call.memory_tokens();
+            let suits = peer.id != main.id && peer.weights(model, now) == weights;
+            (suits && fits && offer.usable).then_some((offer, peer))
+        });
         let best =
             candidates.max_by_key(|(offer, _)| (offer.same_place, offer.free_tokens));
-        best.map(|(_, peer)| peer)
+        best.map(|(_, peer)| peer.clone())
     }
 
     /// Returns the run that the engine with the copy is to go on with.
--- a/crates/bilberry-gateway/src/feeds.rs
+++ b/crates/bilberry-gateway/src/feeds.rs
@@ -1,6 +1,7 @@
 //! Listening to the sidecars of upstreams.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,12 +9,9 @@
 
 use bilberry_core::Clock;
 use bilberry_core::Name;
-use bilberry_core::home;
 use bilberry_wire::Body;
-use bilberry_wire::EntryNotice;
 use bilberry_wire::Frame;
 use bilberry_wire::FrameCodec;
-use bilberry_wire::ModelVersion;
 use bilberry_wire::WatchAnswer;
 use bilberry_wire::WireError;
 use futures_util::SinkExt;
@@ -30,10 +28,12 @@
 
 use crate::Dialect;
 use crate::Gateway;
+use crate::Policy;
 use crate::Upstream;
 use crate::connections::set_options;
 use crate::hubs::HubQuestion;
 use crate::hubs::QUESTIONS_AHEAD;
+use crate::upstreams::UpstreamsByPool;
 
 /// How often the set of sidecars is compared with the list.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
@@ -56,28 +56,42 @@
     sidecar_port: u16,
 ) {
     let mut feeds: HashMap<(Name, SocketAddr), JoinHandle<()>> = HashMap::new();
+    let publisher = gateway.clone();
+    tokio::spawn(async move { publisher.maintain_pool_summaries().await });
+    let mut previous = None;
     loop {
-        let upstreams = gateway.upstreams.all();
-        let place = |upstream: &Upstream| {
-            let address = SocketAddr::new(upstream.address.ip(), sidecar_port);
-            (upstream.id.clone(), address)
-        };
-        feeds.retain(|followed, feed| {
-            let listed = upstreams.iter().any(|upstream| place(upstream) == *followed);
-            if !listed {
+        let current = (gateway.upstreams.by_pool(), gateway.policy());
+        if previous.as_ref().is_none_or(|previous| !is_unchanged(previous, &current)) {
+            let (by_pool, _) = &current;
+            let place = |upstream: &Arc<Upstream>| {
+                let address = SocketAddr::new(upstream.address.ip(), sidecar_port);
+                (upstream.id.clone(), address)
+            };
+            let upstreams = || by_pool.values().flat_map(|pool| pool.iter());
+            let listed: HashSet<_> = upstreams().map(place).collect();
+            for (_, feed) in feeds.extract_if(|followed, _| !listed.contains(followed)) {
                 feed.abort();
             }
-            listed
-        });
-        for upstream in upstreams.iter().filter(|upstream| gateway.is_engine(upstream)) {
-            feeds.entry(place(upstream)).or_insert_with_key(|(id, address)| {
-                tokio::spawn(follow(gateway.clone(), id.clone(), *address))
-            });
+            for upstream in upstreams().filter(|upstream| gateway.is_engine(upstream)) {
+                feeds.entry(place(upstream)).or_insert_with_key(|(id, address)| {
+                    tokio::spawn(follow(gateway.clone(), id.clone(), *address))
+                });
+            }
+            previous = Some(current);
         }
         sleep(LOOK_EVERY).await;
     }
 }
 
+/// The upstreams and the configuration, which determine the set of feeds.
+type FeedInputs = (Arc<UpstreamsByPool>, Option<Arc<Policy>>);
+
+/// Reports whether neither the upstreams nor the configuration have been replaced.
+fn is_unchanged(before: &FeedInputs, after: &FeedInputs) -> bool {
+    let policy = |inputs: &FeedInputs| inputs.1.as_ref().map(Arc::as_ptr);
+    Arc::ptr_eq(&before.0, &after.0) && policy(before) == policy(after)
+}
+
 async fn follow<D: Dialect, C: Clock>(
     gateway: Arc<Gateway<D, C>>,
     id: Name,
@@ -125,6 +139,7 @@
     let mut asked = Asked::default();
     let mut joined = None;
     let mut noticed = None;
+    let mut summaries = gateway.subscribe_to_pool_summaries();
     let mut silent_at = Instant::now() + SILENCE;
     let mut followed: Option<Arc<Upstream>> = None;
     // A sidecar that started again knows of no crash.
@@ -135,20 +150,31 @@
     loop {
         // Looked up each time, as another incarnation may have taken its place.
         let Some(upstream) = gateway.upstreams.get(id) else { return Ok(()) };
-        let before = followed.replace(upstream.clone());
-        if before.is_some_and(|before| was_listed_anew(&before, &upstream)) {
-            return Ok(());
+        if followed.as_ref().is_none_or(|before| !Arc::ptr_eq(before, &upstream)) {
+            let before = followed.replace(upstream.clone());
+            if before.is_some_and(|before| was_listed_anew(&before, &upstream)) {
+                return Ok(());
+            }
+            upstream.set_sidecar_queue(queue.clone());
+            summaries.mark_changed();
         }
-        upstream.set_sidecar_queue(queue.clone());
-        let notice = notice(gateway, &upstream);
-        if noticed.as_ref() != Some(&notice) {
-            gateway.stores.forget_teller(id, &notice.prompt_stores);
-            let body = Some(Body::EntryNotice(notice.clone()));
-            framed.send(Frame { body, ..Frame::default() }).await?;
-            noticed = Some(notice);
+        if summaries.has_changed().unwrap_or(false) {
+            let summary = summaries.borrow_and_update().get(&upstream.pool).cloned();
+            let notice = summary.map(|summary| summary.notice(&upstream));
+            if let Some(notice) = notice.filter(|n| noticed.as_ref() != Some(n)) {
+                gateway.stores.forget_teller(id, &notice.prompt_stores);
+                let body = Some(Body::EntryNotice(notice.clone()));
+                framed.send(Frame { body, ..Frame::default() }).await?;
+                noticed = Some(notice);
+            }
         }
         let frame = tokio::select! {
             frame = timeout_at(silent_at, framed.next()) => frame.map_err(late)?,
+            _ = summaries.changed() => {
+                // `changed` marks the value as seen, but the notice is yet to be built.
+                summaries.mark_changed();
+                continue;
+            }
             body = queued.recv() => {
                 framed.send(Frame { body, ..Frame::default() }).await?;
                 continue;
@@ -223,49 +249,6 @@
 /// Reports whether an identity that was off the list for a moment is back.
 ///
 /// What its cache holds was told before; only a new connection tells it all again.
-fn was_listed_anew(before: &Arc<Upstream>, upstream: &Arc<Upstream>) -> bool {
-    let is_same_start = before.incarnation() == upstream.incarnation();
-    is_same_start && !Arc::ptr_eq(before, upstream)
-}
-
-/// Returns what the sidecar is told of its service.
-fn notice<D: Dialect, C: Clock>(
-    gateway: &Gateway<D, C>,
-    upstream: &Arc<Upstream>,
-) -> EntryNotice {
-    let now = gateway.clock.now();
-    let peers = gateway.upstreams.of(&upstream.pool);
-    let place = gateway.rollout_place(upstream);
-    let newest = |(model, _): (Name, u64)| {
-        gateway.note_weights_seen(&upstream.pool, &model, now);
-        let version = gateway.weights.newest(&model).unwrap_or_default();
-        ModelVersion { version, model: model.to_string() }
-    };
-    EntryNotice {
-        position: place.position as u64,
-        servers: place.servers as u64,
-        down: place.down as u64,
-        newest: upstream.models(now).into_iter().map(newest).collect(),
-        prompt_stores: stores_to_follow(gateway, upstream, &peers),
-    }
-}
-
-/// Returns the addresses of the stores that this sidecar is to follow.
-///
-/// A store answers few such questions at once, so all entries ask one sidecar for each
-/// of them: of those that are heard, the first in an agreed order of the store's own.
-fn stores_to_follow<D: Dialect, C: Clock>(
-    gateway: &Gateway<D, C>,
-    upstream: &Arc<Upstream>,
-    peers: &[Arc<Upstream>],
-) -> Vec<String> {
-    let now = gateway.clock.now();
-    let heard = peers.iter().filter(|peer| peer.is_followed(now) && !peer.is_leaving());
-    let seeds: Vec<u64> = heard.map(|peer| peer.seed).collect();
-    let stores = gateway.stores.answering().into_iter();
-    let followed = stores.filter(|store| {
-        let follower = home(store.seed, &seeds).map(|at| seeds[at]);
-        follower == Some(upstream.seed)
-    });
-    followed.map(|store| store.terms.address.to_string()).collect()
+fn was_listed_anew(before: &Upstream, upstream: &Upstream) -> bool {
+    before.incarnation() == upstream.incarnation()
 }
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 use bilberry_core::UnixMs;
 use bilberry_wire::CacheChange;
 use bilberry_wire::UpstreamState;
+use tokio::sync::watch;
 
 use crate::Connections;
 use crate::Dialect;
@@ -35,6 +36,7 @@
 use crate::Upstream;
 use crate::Upstreams;
 use crate::known_crashes::KnownCrashes;
+use crate::pool_summary::PoolSummaries;
 
 /// The bounds and identity that an entry is started with.
 #[derive(Debug, Clone)]
@@ -76,6 +78,7 @@
     pub(crate) pace: Pace,
     pub(crate) readings: Mutex<Readings>,
     pub(crate) lines: LineBudget,
+    pub(crate) pool_summaries: watch::Sender<PoolSummaries>,
     policy: ArcSwapOption<Policy>,
     policy_fresh: Mutex<Freshness>,
     store_reached: Mutex<Freshness>,
@@ -103,6 +106,7 @@
             pace: Pace::default(),
             readings: Mutex::default(),
             lines: LineBudget::default(),
+            pool_summaries: watch::Sender::default(),
             policy: ArcSwapOption::empty(),
             policy_fresh: Mutex::default(),
             store_reached: Mutex::default(),
@@ -287,16 +291,4 @@
         self.connections.drop_idle(ended.address);
         log::info!(target: "upstream", upstream = ended.id.as_str(); "started again");
     }
-
-    /// Notes the newest weights that any upstream runs.
-    ///
-    /// They have been named, whether or not this entry could hear of it.
-    pub(crate) fn note_weights_seen(&self, pool: &Name, model: &Name, now: UnixMs) {
-        let Some(version) = self.upstreams.newest_told(pool, model, now) else {
-            return;
-        };
-        if self.weights.note(model, version, now) {
-            log::info!(target: "weights", model = model.as_str(), version; "seen at an upstream");
-        }
-    }
 }
--- a/crates/bilberry-gateway/src/lib.rs
+++ b/crates/bilberry-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod placing;
 mod plain_answer;
 mod policy;
+mod pool_summary;
 mod prompt_keys;
 mod prompt_stores;
 mod readings;
--- a/crates/bilberry-gateway/src/placing.rs
+++ b/crates/bilberry-gateway/src/placing.rs
@@ -72,10 +72,10 @@
     /// Returns the earliest end of the pauses that all upstreams of a service have asked
     /// for, those that leave aside; `None` if one of them has asked for none.
     pub(crate) fn all_paused_until(&self, pool: &Name, now: UnixMs) -> Option<UnixMs> {
-        let mut upstreams = self.upstreams.of(pool);
-        upstreams.retain(|upstream| !upstream.is_leaving());
+        let upstreams = self.upstreams.of(pool);
+        let not_leaving = upstreams.iter().filter(|upstream| !upstream.is_leaving());
         let ends: Option<Vec<UnixMs>> =
-            upstreams.iter().map(|upstream| upstream.paused_until(now)).collect();
+            not_leaving.map(|upstream| upstream.paused_until(now)).collect();
         ends?.into_iter().min()
     }
 
@@ -86,14 +86,14 @@
     /// is left, or none is listed yet, one may appear at any moment, with any weights.
     fn lacks_weights(&self, job: &Job, until: UnixMs, now: UnixMs) -> bool {
         let Some(model) = &job.call.model else { return false };
-        let mut upstreams = self.upstreams.of(&job.pool.name);
-        upstreams.retain(|upstream| !upstream.is_leaving());
+        let upstreams = self.upstreams.of(&job.pool.name);
+        let mut not_leaving = upstreams.iter().filter(|upstream| !upstream.is_leaving());
         let is_barred = |upstream: &Arc<Upstream>| {
             let version = upstream.weights(model, now);
             self.judge_weights(version, model, now) == Weights::Barred
                 && !upstream.may_load_by(until, now)
         };
-        !upstreams.is_empty() && upstreams.iter().all(is_barred)
+        not_leaving.next().is_some_and(is_barred) && not_leaving.all(is_barred)
     }
 
     /// Judges whether an upstream with this version of a model's weights may still
@@ -114,7 +114,6 @@
         let upstreams = self.upstreams.of(&job.pool.name);
         self.note_outage(&job.pool.name, &upstreams, now);
         let model = job.call.model.clone().unwrap_or_default();
-        self.note_weights_seen(&job.pool.name, &model, now);
         let needs_weights = job.call.model.is_some() && job.pool.engine.is_some();
         let can_fetch = self.stores.any_answers();
         let demand = job.demand(can_fetch, self.pace.token_us(&job.pool.name));
--- a/crates/bilberry-gateway/src/prompt_stores.rs
+++ b/crates/bilberry-gateway/src/prompt_stores.rs
@@ -30,6 +30,8 @@
     by_address: Mutex<BTreeMap<SocketAddr, Arc<PromptStore>>>,
     /// Told whenever the configuration in force has changed.
     pub renamed: Notify,
+    /// Notified when a configuration is taken over, or a store starts or stops answering.
+    pub(crate) answering_changed: Arc<Notify>,
 }
 
 /// One store of cached prompts.
@@ -45,6 +47,7 @@
     link_tokens_per_s: Option<f64>,
     link: Mutex<LinkShare>,
     answers: AtomicBool,
+    answering_changed: Arc<Notify>,
 }
 
 impl PromptStores {
@@ -59,13 +62,16 @@
             });
             let store = known.cloned();
             let store = store.unwrap_or_else(|| {
-                Arc::new(PromptStore::new(terms.clone(), link_tokens_per_s))
+                let answering_changed = self.answering_changed.clone();
+                let terms = terms.clone();
+                Arc::new(PromptStore::new(terms, link_tokens_per_s, answering_changed))
             });
             (terms.address, store)
         });
         let named = named.collect();
         *by_address = named;
         self.renamed.notify_one();
+        self.answering_changed.notify_one();
     }
 
     /// Returns all stores, in the order of their addresses.
@@ -135,7 +141,11 @@
 
 impl PromptStore {
     /// Knows nothing of what the store holds, or whether it answers.
-    pub fn new(terms: PromptStoreTerms, link_tokens_per_s: Option<f64>) -> Self {
+    pub fn new(
+        terms: PromptStoreTerms,
+        link_tokens_per_s: Option<f64>,
+        answering_changed: Arc<Notify>,
+    ) -> Self {
         Self {
             seed: xxh3_64(terms.address.to_string().as_bytes()),
             terms,
@@ -143,6 +153,7 @@
             link_tokens_per_s,
             link: Mutex::default(),
             answers: AtomicBool::new(false),
+            answering_changed,
         }
     }
 
@@ -156,7 +167,9 @@
         if !answers {
             self.kept.clear();
         }
-        self.answers.store(answers, Ordering::Relaxed);
+        if self.answers.swap(answers, Ordering::Relaxed) != answers {
+            self.answering_changed.notify_one();
+        }
     }
 
     /// Asks for a transfer over its link, of which this entry may use a part.
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 
 use bilberry_core::Incarnation;
@@ -17,6 +18,7 @@
 use bilberry_wire::Body;
 use bilberry_wire::CacheChange;
 use bilberry_wire::UpstreamState;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
@@ -98,6 +100,7 @@
     parts: Mutex<HashMap<u64, UnixMs>>,
     lost: watch::Sender<bool>,
     to_sidecar: Mutex<Option<mpsc::Sender<Body>>>,
+    status_changed: Arc<Notify>,
 }
 
 impl Upstream {
@@ -117,21 +120,33 @@
             parts: Mutex::default(),
             lost: watch::Sender::new(false),
             to_sidecar: Mutex::default(),
+            status_changed: Arc::default(),
         }
     }
 
+    /// Sets what to notify when it starts leaving, goes down or comes back, when the feed
+    /// from its sidecar starts or is lost, or when its models change.
+    pub(crate) fn set_status_notify(&mut self, status_changed: Arc<Notify>) {
+        self.status_changed = status_changed;
+    }
+
     /// Takes over what the list says now.
     pub fn update(&self, listed: &Listed) {
         let mut live = self.live.lock().unwrap();
         live.slots = listed.slots;
+        let starts_leaving = listed.leaving && !live.leaving;
         live.leaving |= listed.leaving;
         live.confirmed |= listed.incarnation.is_some();
+        if starts_leaving || live.listed_models != listed.models {
+            self.status_changed.notify_one();
+        }
         live.listed_models = listed.models.clone();
     }
 
     /// Takes no new work from now on.
     pub fn leave(&self) {
         self.live.lock().unwrap().leaving = true;
+        self.status_changed.notify_one();
     }
 
     /// Records that it has announced its shutdown; it does so once per incarnation.
@@ -139,6 +154,7 @@
         let mut live = self.live.lock().unwrap();
         live.leaving = true;
         live.announced_leaving = true;
+        self.status_changed.notify_one();
     }
 
     /// Reports whether it has announced its shutdown in an answer.
@@ -155,6 +171,7 @@
         live.leaving = true;
         live.ended = true;
         self.lost.send_replace(true);
+        self.status_changed.notify_one();
     }
 
     /// Reports whether it has started again since.
@@ -218,6 +235,7 @@
             live.failures = 0;
             live.suspect_until = UnixMs(0);
         }
+        let was_leaving = live.leaving;
         // The identity on the list outlives the server by some heartbeats. What
         // answers at its address meanwhile is another one, which refuses what is
         // meant for the first. Where the start is told, it says which one answers;
@@ -235,6 +253,12 @@
         live.loads_at = state.loads_in_ms.map(|in_ms| now.plus_ms(in_ms));
         live.sent_since_feed = 0;
         live.tokens_since_feed = 0;
+        let is_unchanged = live
+            .fresh_feed(now)
+            .is_some_and(|known| known.up == state.up && known.models == state.models);
+        if !is_unchanged || live.leaving != was_leaving {
+            self.status_changed.notify_one();
+        }
         live.feed = Some((state, now));
     }
 
@@ -291,7 +315,9 @@
     /// callers' worth is left, and 0.19 with this, mean of four plays.
     pub fn forget_feed(&self) {
         let mut live = self.live.lock().unwrap();
-        live.feed = None;
+        if live.feed.take().is_some() {
+            self.status_changed.notify_one();
+        }
         live.loads_at = None;
         if live.ended {
             return;
@@ -314,6 +340,7 @@
         if status.is_leaving && !live.announced_leaving {
             live.leaving = true;
             live.announced_leaving = true;
+            self.status_changed.notify_one();
             log::info!(target: "upstream", upstream = self.id.as_str(); "announced shutdown in an answer");
         }
         if let Some(retry_after_ms) = status.retry_after_ms {
@@ -363,6 +390,15 @@
         self.live.lock().unwrap().told_weights(model, now)
     }
 
+    /// Returns the models that the list or its sidecar names, possibly with duplicates.
+    pub(crate) fn model_names(&self, now: UnixMs) -> Vec<Name> {
+        let live = self.live.lock().unwrap();
+        let told = live.fresh_feed(now).map_or(&[][..], |state| &state.models);
+        let told = told.iter().map(|found| Name::from(found.model.as_str()));
+        let listed = live.listed_models.iter().map(|(name, _)| name.clone());
+        listed.chain(told).collect()
+    }
+
     /// Returns all models with the versions of their weights.
     pub fn models(&self, now: UnixMs) -> Vec<(Name, u64)> {
         let names: Vec<Name> = {
--- a/crates/bilberry-gateway/src/upstreams.rs
+++ b/crates/bilberry-gateway/src/upstreams.rs
@@ -24,17 +24,23 @@
 /// Far more than leave within the seconds in which a list can be out of date.
 const MAX_ANNOUNCED: usize = 4_096;
 
+/// The upstreams of each service, in an order that all entries agree on.
+pub(crate) type UpstreamsByPool = HashMap<Name, Arc<[Arc<Upstream>]>>;
+
 /// All upstreams that the platform lists.
 #[derive(Debug, Default)]
 pub struct Upstreams {
     by_id: Mutex<HashMap<Name, Arc<Upstream>>>,
-    by_pool: ArcSwap<HashMap<Name, Vec<Arc<Upstream>>>>,
+    by_pool: ArcSwap<UpstreamsByPool>,
     unnamed: Mutex<Unnamed>,
     /// Upstreams taken off the list that had announced their shutdown.
     announced: Mutex<HashMap<Name, Arc<Upstream>>>,
     listed: AtomicBool,
     /// Told whenever an upstream may have room again.
     pub changed: Arc<Notify>,
+    /// Notified when an upstream is added or removed, starts leaving, goes down or comes
+    /// back, when the feed from its sidecar starts or is lost, or when its models change.
+    pub(crate) status_changed: Arc<Notify>,
 }
 
 /// Lines of the list that wait for a configuration to name their service.
@@ -203,10 +209,15 @@
     }
 
     /// Returns the upstreams of a service, in an order that all entries agree on.
-    pub fn of(&self, pool: &str) -> Vec<Arc<Upstream>> {
+    pub fn of(&self, pool: &str) -> Arc<[Arc<Upstream>]> {
         self.by_pool.load().get(pool).cloned().unwrap_or_default()
     }
 
+    /// Returns all upstreams, by service.
+    pub(crate) fn by_pool(&self) -> Arc<UpstreamsByPool> {
+        self.by_pool.load_full()
+    }
+
     /// Returns all upstreams.
     pub fn all(&self) -> Vec<Arc<Upstream>> {
         self.by_id.lock().unwrap().values().cloned().collect()
@@ -225,8 +236,9 @@
     fn insert(
         &self,
         by_id: &mut HashMap<Name, Arc<Upstream>>,
-        upstream: Upstream,
+        mut upstream: Upstream,
     ) -> Arc<Upstream> {
+        upstream.set_status_notify(self.status_changed.clone());
         self.restore_announcement(&upstream);
         let upstream = Arc::new(upstream);
         by_id.insert(upstream.id.clone(), upstream.clone());
@@ -243,7 +255,10 @@
         for upstreams in by_pool.values_mut() {
             upstreams.sort_by_key(|upstream| upstream.address);
         }
-        self.by_pool.store(Arc::new(by_pool));
+        let by_pool =
+            by_pool.into_iter().map(|(pool, upstreams)| (pool, upstreams.into()));
+        self.by_pool.store(Arc::new(by_pool.collect()));
+        self.status_changed.notify_one();
     }
 }
 
--- a/crates/bilberry-gateway/src/weights.rs
+++ b/crates/bilberry-gateway/src/weights.rs
@@ -6,11 +6,14 @@
 use bilberry_core::Name;
 use bilberry_core::NamedWeights;
 use bilberry_core::UnixMs;
+use tokio::sync::Notify;
 
 /// The weights of each model that are known to exist.
 #[derive(Debug, Default)]
 pub struct KnownWeights {
     by_model: Mutex<HashMap<Name, NamedWeights>>,
+    /// Notified when a new version is noted.
+    pub(crate) changed: Notify,
 }
 
 impl KnownWeights {
@@ -18,7 +21,11 @@
     /// is new.
     pub fn note(&self, model: &Name, version: u64, since: UnixMs) -> bool {
         let mut by_model = self.by_model.lock().unwrap();
-        by_model.entry(model.clone()).or_default().note(version, since)
+        let is_new = by_model.entry(model.clone()).or_default().note(version, since);
+        if is_new {
+            self.changed.notify_one();
+        }
+        is_new
     }
 
     /// Returns the newest version of a model's weights.
