Delay the quarantine of a request until other crash reports arrive

Callers whose request only ran beside one that crashes servers got 503 `quarantined` for up to ten minutes. An innocent request that many callers repeat at once is in progress at each crash and has run to its end nowhere, so it has as many crashes as the cause.

A model of four entries, with one crashing request and one that eight callers repeat, shows two causes:

(1) An entry rejects the innocent request when it learns of its third crash, while the report on the crashing request is still in transit from another entry. (2) Ties between requests with equally many crashes were broken by the order of their keys.

The quarantine of a blamed request now takes effect 300 ms after its last crash. Until then the request waits like one that finds no upstream with room, and it is rejected only if it is still blamed afterwards. Crash reports now carry how long the request had run. Of requests with equally many crashes, the one with the shortest mean run time is blamed, because a request that crashes servers runs on none of them for longer than the crash takes.

Alternative tried and not kept: reject none of several requests with the same crashes until one has more, or five, and meanwhile send each to a separate server that all entries agree on.

The existing tests of the ledger and its model set the new report field; what they check is unchanged.

--- a/crates/bilberry-core/src/crash_ledger.rs
+++ b/crates/bilberry-core/src/crash_ledger.rs
@@ -6,7 +6,9 @@
 //!
 //! A crash also cuts requests that have nothing to do with it. A request that has run to its
 //! end did not cause the crashes known by then, so these are void for it. And a crash has one
-//! cause: those of the request with the most crashes count against no other.
+//! cause: those of the request with the most crashes count against no other. If several have
+//! equally many, the one with the shortest mean run time is blamed, because the cause
+//! runs on a server only until the crash, while others may have run there for longer.
 //!
 //! Reports form a set that only grows, from unknown over counted to void, so they may be
 //! merged in any order, repeated and relayed by anybody.
@@ -24,6 +26,12 @@
 /// After how many crashes a request is rejected.
 const QUARANTINE_AFTER: usize = 3;
 
+/// How long after the last crash of a request its quarantine takes effect.
+///
+/// Entries confirm the same crash at different times. The delay lets reports on other requests
+/// that ran at the server arrive before a request is rejected for its crash.
+const QUARANTINE_DELAY_MS: u64 = 300;
+
 /// How long a request is rejected after its last crash.
 ///
 /// Long enough that a request which still crashes servers costs one of them rarely, short
@@ -49,6 +57,8 @@
     pub request: RequestKey,
     /// A hash of the server's identity and start.
     pub server: u64,
+    /// How long the request had run there, in milliseconds; the longest of several runs.
+    pub ran_ms: u64,
     /// Whether the request has run to its end since, so that it is not to blame.
     pub is_void: bool,
 }
@@ -94,6 +104,13 @@
         self.servers().count()
     }
 
+    /// Returns the mean run time over the counted crashes.
+    fn mean_ran_ms(&self) -> u64 {
+        let counted = self.reports.iter().filter(|report| !report.is_void);
+        let total_ms: u64 = counted.map(|report| report.ran_ms).sum();
+        total_ms / self.counted().max(1) as u64
+    }
+
     fn standing(&self, is_blamed: bool, now: UnixMs) -> Standing {
         let until = self.last_at.plus_ms(QUARANTINE_MS);
         match self.counted() {
@@ -126,10 +143,12 @@
         let known =
             crashes.reports.iter_mut().find(|known| known.server == report.server);
         match known {
-            Some(known) if known.is_void || !report.is_void => false,
             Some(known) => {
-                known.is_void = true;
-                true
+                let is_voided = report.is_void && !known.is_void;
+                let is_longer = report.ran_ms > known.ran_ms;
+                known.is_void |= report.is_void;
+                known.ran_ms = known.ran_ms.max(report.ran_ms);
+                is_voided || is_longer
             }
             None => {
                 if crashes.reports.len() >= MAX_CRASHES {
@@ -169,6 +188,17 @@
         crashes.map_or(Standing::Good, |crashes| crashes.standing(is_blamed, now))
     }
 
+    /// Returns whether a request in quarantine must wait instead of being rejected, because
+    /// reports that lift its quarantine may still arrive.
+    pub fn is_quarantine_pending(&self, request: RequestKey, now: UnixMs) -> bool {
+        let crashes = self.requests.get(&request);
+        let effective_at =
+            crashes.map(|crashes| crashes.last_at.plus_ms(QUARANTINE_DELAY_MS));
+        let is_quarantined =
+            matches!(self.standing(request, now), Standing::Quarantined { .. });
+        is_quarantined && effective_at.is_some_and(|at| !at.has_passed_at(now))
+    }
+
     /// Returns all reports on requests that are not forgotten.
     pub fn reports(&self, now: UnixMs) -> Vec<CrashReport> {
         let crashes = self.requests.values();
@@ -207,7 +237,10 @@
         self.candidates.retain(|request| requests.contains_key(request));
         let counted = |request: &RequestKey| requests[request].counted();
         let mut ranked: Vec<_> = self.candidates.iter().copied().collect();
-        ranked.sort_unstable_by_key(|request| (Reverse(counted(request)), *request));
+        let mean_ran_ms = |request: &RequestKey| requests[request].mean_ran_ms();
+        ranked.sort_unstable_by_key(|request| {
+            (Reverse(counted(request)), mean_ran_ms(request), *request)
+        });
         let mut explained = HashSet::new();
         self.blamed.clear();
         for request in ranked {
--- a/crates/bilberry-core/tests/crash_ledger.rs
+++ b/crates/bilberry-core/tests/crash_ledger.rs
@@ -16,13 +16,19 @@
 const NOW: UnixMs = UnixMs(1_000_000);
 
 fn crash(request: u64, server: u64) -> CrashReport {
-    CrashReport { request: RequestKey(request), server, is_void: false }
+    CrashReport { request: RequestKey(request), server, ran_ms: 0, is_void: false }
+}
+
+/// Returns a report of a crash `ran_ms` into a run of the request.
+fn crash_after(request: u64, server: u64, ran_ms: u64) -> CrashReport {
+    CrashReport { ran_ms, ..crash(request, server) }
 }
 
 fn report() -> impl Strategy<Value = CrashReport> {
-    (0..4u64, 0..6u64, any::<bool>()).prop_map(|(request, server, is_void)| CrashReport {
+    let values = (0..4u64, 0..6u64, 0..4u64, any::<bool>());
+    values.prop_map(|(request, server, ran_ms, is_void)| CrashReport {
         is_void,
-        ..crash(request, server)
+        ..crash_after(request, server, ran_ms)
     })
 }
 
@@ -34,9 +40,10 @@
     ledger
 }
 
-fn sorted(ledger: &CrashLedger) -> Vec<(RequestKey, u64, bool)> {
+fn sorted(ledger: &CrashLedger) -> Vec<(RequestKey, u64, u64, bool)> {
     let reports = ledger.reports(NOW).into_iter();
-    let mut reports: Vec<_> = reports.map(|r| (r.request, r.server, r.is_void)).collect();
+    let reports = reports.map(|r| (r.request, r.server, r.ran_ms, r.is_void));
+    let mut reports: Vec<_> = reports.collect();
     reports.sort_unstable();
     reports
 }
@@ -71,6 +78,41 @@
     assert_eq!(ledger.standing(RequestKey(beside), NOW), Standing::Suspect);
 }
 
+#[test]
+fn of_requests_with_the_same_crashes_the_one_with_the_shortest_mean_run_is_rejected() {
+    let (crashing, beside) = (9, 1);
+    let crashes = (0..3).flat_map(|server| {
+        [
+            crash_after(crashing, server, 40),
+            crash_after(beside, server, 100 * server + 90),
+        ]
+    });
+    let ledger = ledger(&crashes.collect::<Vec<_>>());
+    assert!(is_quarantined(&ledger, crashing, NOW));
+    assert_eq!(ledger.standing(RequestKey(beside), NOW), Standing::Suspect);
+}
+
+#[test]
+fn a_quarantine_is_pending_until_reports_on_other_requests_can_arrive() {
+    let (crashing, beside) = (RequestKey(9), RequestKey(1));
+    let mut ledger = ledger(&[crash(1, 1), crash(1, 2), crash(1, 3)]);
+    assert!(ledger.is_quarantine_pending(beside, NOW));
+    assert!(!ledger.is_quarantine_pending(beside, NOW.plus_ms(300)));
+    (1..5).for_each(|server| {
+        ledger.merge(crash(crashing.0, server), NOW.plus_ms(100));
+    });
+    assert!(!ledger.is_quarantine_pending(beside, NOW.plus_ms(100)));
+    assert!(ledger.is_quarantine_pending(crashing, NOW.plus_ms(100)));
+}
+
+#[test]
+fn the_longest_of_several_runs_at_one_crash_counts() {
+    let first = ledger(&[crash_after(1, 1, 40), crash_after(1, 1, 90)]);
+    let second = ledger(&[crash_after(1, 1, 90), crash_after(1, 1, 40)]);
+    assert_eq!(first.reports(NOW), second.reports(NOW));
+    assert_eq!(first.reports(NOW)[0].ran_ms, 90);
+}
+
 #[test]
 fn two_witnesses_of_one_crash_count_once() {
     let ledger = ledger(&[crash(1, 7), crash(1, 7), crash(1, 7)]);
--- a/crates/bilberry-core/tests/crash_ledger_model.rs
+++ b/crates/bilberry-core/tests/crash_ledger_model.rs
@@ -133,7 +133,8 @@
                 if self.entries[entry].start != start {
                     return;
                 }
-                let report = CrashReport { request: CRASHING, server, is_void: false };
+                let report =
+                    CrashReport { request: CRASHING, server, ran_ms: 0, is_void: false };
                 self.entries[entry].ledger.merge(report, now);
                 for relay in 0..RELAYS {
                     let reports = vec![report];
--- a/crates/bilberry-gateway/src/crashes.rs
+++ b/crates/bilberry-gateway/src/crashes.rs
@@ -60,7 +60,8 @@
             true => Confirmation::BySidecar { within: CONFIRM_WITHIN },
             false => Confirmation::ByProbe,
         };
-        self.watch_for_crash(job, upstream, confirmation);
+        let ended_at = Some(self.clock.now());
+        self.watch_for_crash(job, upstream, ended_at, confirmation);
     }
 
     /// Records that a caller left while its request may still run, and later whether the
@@ -69,24 +70,29 @@
         let Some(upstream) = &job.sent_to else { return };
         if !upstream.is_leaving() && upstream.is_followed(self.clock.now()) {
             let within = ABANDONED_WITHIN;
-            self.watch_for_crash(job, upstream, Confirmation::BySidecar { within });
+            self.watch_for_crash(job, upstream, None, Confirmation::BySidecar { within });
         }
     }
 
     /// Reports a run as in progress at a crash once that is confirmed.
+    ///
+    /// Without `ended_at`, the run is taken to have lasted until the confirmation.
     fn watch_for_crash(
         self: &Arc<Self>,
         job: &Job,
         upstream: &Arc<Upstream>,
+        ended_at: Option<UnixMs>,
         confirmation: Confirmation,
     ) {
         // A caller may also leave as the process ends.
         let Ok(runtime) = Handle::try_current() else { return };
-        let run = InterruptedRun::new(job, upstream, self.clock.now());
+        let mut run = InterruptedRun::new(job, upstream);
         let gateway = self.clone();
         let upstream = upstream.clone();
         runtime.spawn(async move {
             if has_crashed(&upstream, confirmation).await {
+                let ended_at = ended_at.unwrap_or_else(|| gateway.clock.now());
+                run.ran_ms = ended_at.ms_since(run.sent_at);
                 gateway.metrics.crashed_runs.inc();
                 match gateway.lines.spend(gateway.clock.now(), false) {
                     true => run.log(&upstream),
@@ -110,10 +116,11 @@
         self.share_crashes(voided);
     }
 
-    /// Returns the refusal of a request in quarantine.
+    /// Returns the refusal of a request in quarantine, unless the quarantine is pending.
     pub(crate) fn check_quarantine(&self, job: &Job) -> Result<(), Refusal> {
         let now = self.clock.now();
         match self.crashes.standing(job.key, now) {
+            _ if self.crashes.is_quarantine_pending(job.key, now) => Ok(()),
             Standing::Quarantined { until } => {
                 Err(Refusal::Quarantined { for_ms: until.ms_since(now) })
             }
@@ -185,11 +192,12 @@
     customer: Name,
     path: String,
     server: u64,
+    sent_at: UnixMs,
     ran_ms: u64,
 }
 
 impl InterruptedRun {
-    fn new(job: &Job, upstream: &Upstream, now: UnixMs) -> Self {
+    fn new(job: &Job, upstream: &Upstream) -> Self {
         let customer = job.customer.as_ref();
         Self {
             attempt: job.call.attempt.clone(),
@@ -197,12 +205,14 @@
             customer: customer.map(|c| c.name.clone()).unwrap_or_default(),
             path: job.uri.path().to_string(),
             server: server_hash(upstream),
-            ran_ms: now.ms_since(job.sent_at),
+            sent_at: job.sent_at,
+            ran_ms: 0,
         }
     }
 
     fn report(&self) -> CrashReport {
-        CrashReport { request: self.key, server: self.server, is_void: false }
+        let Self { key: request, server, ran_ms, .. } = *self;
+        CrashReport { request, server, ran_ms, is_void: false }
     }
 
     fn log(&self, upstream: &Upstream) {
--- a/crates/bilberry-gateway/src/known_crashes.rs
+++ b/crates/bilberry-gateway/src/known_crashes.rs
@@ -67,6 +67,11 @@
         self.ledger.lock().unwrap().standing(request, now)
     }
 
+    /// Returns whether a request in quarantine must wait instead of being rejected.
+    pub(crate) fn is_quarantine_pending(&self, request: RequestKey, now: UnixMs) -> bool {
+        self.ledger.lock().unwrap().is_quarantine_pending(request, now)
+    }
+
     /// Returns the notices that a sidecar gets as it connects.
     pub(crate) fn notices(&self, now: UnixMs) -> Vec<CrashNotice> {
         let reports = self.ledger.lock().unwrap().reports_on_suspects(now);
--- a/crates/bilberry-gateway/src/placing.rs
+++ b/crates/bilberry-gateway/src/placing.rs
@@ -111,6 +111,10 @@
     /// Chooses an upstream with room, if there is one.
     fn choose(&self, job: &mut Job) -> Option<Choice> {
         let now = self.clock.now();
+        // The request waits until its quarantine takes effect or is lifted.
+        if self.crashes.is_quarantine_pending(job.key, now) {
+            return None;
+        }
         let upstreams = self.upstreams.of(&job.pool.name);
         self.note_outage(&job.pool.name, &upstreams, now);
         let model = job.call.model.clone().unwrap_or_default();
--- a/crates/bilberry-wire/src/crashes.rs
+++ b/crates/bilberry-wire/src/crashes.rs
@@ -26,19 +26,22 @@
     /// Whether the request is not to blame, as it has run to its end since.
     #[prost(bool, tag = "3")]
     pub is_void: bool,
+    /// How long the request had run, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub ran_ms: u64,
 }
 
 impl From<CrashReport> for CrashedRun {
     fn from(report: CrashReport) -> Self {
-        let CrashReport { request, server, is_void } = report;
-        Self { request: request.0, server, is_void }
+        let CrashReport { request, server, ran_ms, is_void } = report;
+        Self { request: request.0, server, is_void, ran_ms }
     }
 }
 
 impl From<CrashedRun> for CrashReport {
     fn from(run: CrashedRun) -> Self {
-        let CrashedRun { request, server, is_void } = run;
-        Self { request: RequestKey(request), server, is_void }
+        let CrashedRun { request, server, is_void, ran_ms } = run;
+        Self { request: RequestKey(request), server, ran_ms, is_void }
     }
 }
 
