Count repeated crashes of a plain server before its new start is listed

A request that crashes plain servers was rejected too late or never, so callers' requests were interrupted at a fourth server where three are allowed.

A crash was identified by the server's identity and start time. For a server without a sidecar, the start time is the one last shown in the list. A server that restarts and crashes again before the list shows its new start repeats the same identifier, and both crashes count as one. If the list is not written at all, for example while the store is unavailable, the request is never rejected.

Identify a run at a plain server by the start time and the number of crashes in that start that the entry knew of when it sent the request. Reports reach all entries, so they agree on the number. The first crash keeps its previous identifier, so that entries of both releases agree.

Engines are unchanged: their sidecars report each start, and may report a live engine as down, which must not count twice.

Other state that could rely on an outdated start was reviewed: a pause requested by a server expires by time, and a server that is leaving is tracked by identity. Neither counts crashes.

Known limitation: engines without a sidecar are still identified by the listed start alone.

--- a/crates/bilberry-core/src/crash_ledger.rs
+++ b/crates/bilberry-core/src/crash_ledger.rs
@@ -47,6 +47,10 @@
 /// How many requests are kept; those known least long and not in quarantine give way.
 const MAX_REQUESTS: usize = 20_000;
 
+/// How many crashed servers are kept. At the limit, those last reported at least `FORGET_MS`
+/// ago are dropped; if there are none, the new one is not recorded.
+const MAX_CRASHED_SERVERS: usize = 20_000;
+
 /// How long after it ran to its end a request is not blamed for a crash.
 const SERVED_MS: u64 = 10_000;
 
@@ -55,7 +59,7 @@
 pub struct CrashReport {
     /// The request.
     pub request: RequestKey,
-    /// A hash of the server's identity and start.
+    /// A hash of the server's identity, its start and its crashes known before the run.
     pub server: u64,
     /// How long the request had run there, in milliseconds; the longest of several runs.
     pub ran_ms: u64,
@@ -81,6 +85,8 @@
 #[derive(Debug, Default)]
 pub struct CrashLedger {
     requests: HashMap<RequestKey, Crashes>,
+    /// The crashed servers, by [`CrashReport::server`], with the time of the last report.
+    crashed_servers: HashMap<u64, UnixMs>,
     /// The requests with enough crashes to be rejected.
     candidates: HashSet<RequestKey>,
     /// Those of them that caused crashes, by the present reports.
@@ -135,6 +141,7 @@
 
     fn insert(&mut self, report: CrashReport, now: UnixMs) -> bool {
         self.make_room(report.request, now);
+        self.record_crashed_server(report.server, now);
         let fresh = || Crashes { reports: Vec::new(), last_at: now };
         let crashes = self.requests.entry(report.request).or_insert_with(fresh);
         if is_forgotten(crashes, now) {
@@ -188,6 +195,21 @@
         crashes.map_or(Standing::Good, |crashes| crashes.standing(is_blamed, now))
     }
 
+    /// Returns whether a crash of a server is recorded, from a report on any request, void
+    /// or not.
+    pub fn has_crashed(&self, server: u64) -> bool {
+        self.crashed_servers.contains_key(&server)
+    }
+
+    fn record_crashed_server(&mut self, server: u64, now: UnixMs) {
+        if self.crashed_servers.len() >= MAX_CRASHED_SERVERS {
+            self.crashed_servers.retain(|_, at| now.ms_since(*at) < FORGET_MS);
+        }
+        if self.crashed_servers.len() < MAX_CRASHED_SERVERS {
+            self.crashed_servers.insert(server, now);
+        }
+    }
+
     /// Returns whether a request in quarantine must wait instead of being rejected, because
     /// reports that lift its quarantine may still arrive.
     pub fn is_quarantine_pending(&self, request: RequestKey, now: UnixMs) -> bool {
--- a/crates/bilberry-gateway/src/crashes.rs
+++ b/crates/bilberry-gateway/src/crashes.rs
@@ -19,7 +19,6 @@
 use tokio::runtime::Handle;
 use tokio::time::sleep;
 use tokio::time::timeout;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::Dialect;
 use crate::Gateway;
@@ -28,6 +27,7 @@
 use crate::Upstream;
 use crate::connections::ConnectError;
 use crate::connections::connect;
+use crate::known_crashes::IncarnationHash;
 use crate::known_crashes::Merged;
 
 /// How long the confirmation of a crash is waited for; sidecars report one within a
@@ -133,6 +133,18 @@
         self.crashes.standing(job.key, self.clock.now()) != Standing::Good
     }
 
+    /// Returns how many crashes in an upstream's known incarnation have been reported, or 0
+    /// for engines.
+    ///
+    /// Plain servers may restart before their new start is known. An engine's sidecar reports
+    /// each start, and may report a live engine as down, which must not count twice.
+    pub(crate) fn earlier_crashes(&self, job: &Job, upstream: &Upstream) -> u64 {
+        match job.pool.engine {
+            Some(_) => 0,
+            None => self.crashes.count_crashes(IncarnationHash::of(upstream)),
+        }
+    }
+
     /// Reports whether a request may run once more after this many runs.
     pub(crate) fn may_run_after(&self, job: &Job, runs: u32) -> bool {
         job.may_run_after(runs) && !self.is_suspect(job)
@@ -204,7 +216,7 @@
             key: job.key,
             customer: customer.map(|c| c.name.clone()).unwrap_or_default(),
             path: job.uri.path().to_string(),
-            server: server_hash(upstream),
+            server: IncarnationHash::of(upstream).crash_id(job.earlier_crashes),
             sent_at: job.sent_at,
             ran_ms: 0,
         }
@@ -250,9 +262,3 @@
         }
     }
 }
-
-/// Returns a hash of an upstream's identity and start that all entries agree on.
-fn server_hash(upstream: &Upstream) -> u64 {
-    let start = upstream.incarnation().map_or(0, |incarnation| incarnation.born_at.0);
-    xxh3_64(format!("{}/{start}", upstream.id).as_bytes())
-}
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -190,6 +190,7 @@
         let now = self.clock.now();
         job.sent_at = now;
         job.sent_to = Some(upstream.clone());
+        job.earlier_crashes = self.earlier_crashes(job, &upstream);
         let repeatable = job.route.kind.is_repeatable();
         let may_repeat = self.may_run_after(job, job.runs + 1);
         let left = job.deadline.left(now);
@@ -234,6 +235,7 @@
         job.sends += 1;
         job.sent_at = self.clock.now();
         job.sent_to = Some(upstream.clone());
+        job.earlier_crashes = self.earlier_crashes(job, &upstream);
         let left = job.deadline.left(job.sent_at);
         let sent = timeout(left, connection.send(request)).await.ok()?;
         let response = match sent {
--- a/crates/bilberry-gateway/src/job.rs
+++ b/crates/bilberry-gateway/src/job.rs
@@ -57,6 +57,8 @@
     pub sent_at: UnixMs,
     /// The upstream that it was last sent to and may run at.
     pub sent_to: Option<Arc<Upstream>>,
+    /// How many crashes in that upstream's incarnation were known when it was sent.
+    pub earlier_crashes: u64,
     /// How many of these sends may have run.
     pub runs: u32,
     /// The upstream that keeps a copy of its memory.
--- a/crates/bilberry-gateway/src/known_crashes.rs
+++ b/crates/bilberry-gateway/src/known_crashes.rs
@@ -9,6 +9,13 @@
 use bilberry_core::Standing;
 use bilberry_core::UnixMs;
 use bilberry_wire::CrashNotice;
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::Upstream;
+
+/// How many crashes of one incarnation are told apart.
+const MAX_EARLIER_CRASHES: u64 = 64;
 
 /// The crashes that this entry or others have seen, and the requests served here lately.
 #[derive(Debug, Default)]
@@ -17,6 +24,32 @@
     served: Mutex<ServedRequests>,
 }
 
+/// A hash of an upstream's id and the start time of its known incarnation, the same at all
+/// entries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct IncarnationHash(u64);
+
+impl IncarnationHash {
+    /// Hashes the incarnation that the list or the sidecar reports; the start time is 0 if
+    /// none is known.
+    pub(crate) fn of(upstream: &Upstream) -> Self {
+        let start = upstream.incarnation().map_or(0, |incarnation| incarnation.born_at.0);
+        Self(xxh3_64(format!("{}/{start}", upstream.id).as_bytes()))
+    }
+
+    /// Returns the id of the crash that follows `earlier_crashes` others in the incarnation.
+    ///
+    /// Prevents the crashes of a server that restarts before the list shows its new start
+    /// from counting as one. The first crash keeps the hash itself as its id, for
+    /// compatibility with entries of the previous release.
+    pub(crate) fn crash_id(self, earlier_crashes: u64) -> u64 {
+        match earlier_crashes {
+            0 => self.0,
+            _ => xxh3_64_with_seed(&self.0.to_le_bytes(), earlier_crashes),
+        }
+    }
+}
+
 /// What reports have changed.
 #[derive(Debug)]
 pub(crate) struct Merged {
@@ -67,6 +100,15 @@
         self.ledger.lock().unwrap().standing(request, now)
     }
 
+    /// Counts the known crashes in an incarnation, from the first up to the first gap.
+    pub(crate) fn count_crashes(&self, incarnation: IncarnationHash) -> u64 {
+        let ledger = self.ledger.lock().unwrap();
+        let is_known = |earlier_crashes: &u64| {
+            ledger.has_crashed(incarnation.crash_id(*earlier_crashes))
+        };
+        (0..MAX_EARLIER_CRASHES).take_while(is_known).count() as u64
+    }
+
     /// Returns whether a request in quarantine must wait instead of being rejected.
     pub(crate) fn is_quarantine_pending(&self, request: RequestKey, now: UnixMs) -> bool {
         self.ledger.lock().unwrap().is_quarantine_pending(request, now)
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -156,6 +156,7 @@
             sends: 0,
             sent_at: arrived_at,
             sent_to: None,
+            earlier_crashes: 0,
             runs: 0,
             backup: None,
             weights: None,
