Repeat the wait for probe answers after the entry was stalled

A caller paid for its whole prompt again although an upstream held it: an entry that got no processor time from its host took upstreams for unresponsive that had answered already, or had not been probed yet.

The stall was measured only where a wait ended by timeout. The probes had not been sent before the stall. 54 ms of it were detected, but the wait that followed was 10 ms at most, and the answers took longer (0 of 5 answers by its start, 1 by its end). That the probes had not left is inferred from these figures.

Ruled out: that the holder had evicted the prompt, as not all upstreams had answered in either case and those that had held none of it.

A wait now measures its overrun whatever ended it. After an overrun of more than 4 ms, the entry waits once more: for the length of the overrun but at most the probe wait, and then for late answers as in the first wait. It waits at most twice.

The waiting code moves from knowledge.rs to collect.rs.

--- /dev/null
+++ b/crates/bilberry-entry/src/collect.rs
@@ -0,0 +1,97 @@
+//! Collection of probe answers from upstreams.
+//!
+//! On a busy host, the entry may get no processor time for tens of milliseconds.
+//! When it resumes, the wait has expired, but answers are still queued locally or
+//! probes have not been sent yet. A second wait makes up for the lost time, so that
+//! upstreams are not taken to be unresponsive because the entry itself was stalled.
+
+use std::time::Duration;
+
+use bilberry_core::Chain;
+use bilberry_core::patience_ms;
+use futures_util::Stream;
+use futures_util::StreamExt;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use crate::Answered;
+use crate::Question;
+
+/// The maximum extension of a wait for late answers.
+const LAST_WAIT: Duration = Duration::from_millis(50);
+
+/// The maximum overrun attributed to timers (resolution: 1 ms) rather than to a stall.
+const TIMER_TOLERANCE: Duration = Duration::from_millis(4);
+
+/// Collects answers until all have arrived or the wait has expired.
+///
+/// If the wait overruns, there is a second and last one, as long as the overrun but
+/// at most `question.wait`. Each is extended for late answers.
+pub async fn collect_answers<S>(answers: S, question: &Question<'_>) -> Vec<Answered>
+where
+    S: Stream<Item = Option<Answered>> + Unpin,
+{
+    let mut collector = AnswerCollector { pending: answers, answers: Vec::new() };
+    let until = Instant::now() + question.wait;
+    let overrun = collector.collect_until(until, question).await;
+    if overrun > TIMER_TOLERANCE {
+        let until = Instant::now() + overrun.min(question.wait);
+        collector.collect_until(until, question).await;
+    }
+    // Ties between scores are broken by position, which must not depend on arrival order.
+    collector.answers.sort_by_key(|answer| answer.target);
+    collector.answers
+}
+
+/// The answers received so far and the stream of outstanding ones.
+struct AnswerCollector<S> {
+    pending: S,
+    answers: Vec<Answered>,
+}
+
+impl<S: Stream<Item = Option<Answered>> + Unpin> AnswerCollector<S> {
+    /// Collects answers until `until`, then late ones for up to `patience`, and returns
+    /// the overrun of the wait.
+    ///
+    /// The overrun is measured on every exit: after a stall, the wait may end with an
+    /// answer and not with a timeout.
+    async fn collect_until(
+        &mut self,
+        until: Instant,
+        question: &Question<'_>,
+    ) -> Duration {
+        while self.receive_next(until).await {}
+        let overrun = until.elapsed();
+        // Any answer is better than an estimate, and waiting for a slow holder, for
+        // example while its link is being opened after a restart, costs less than
+        // recomputing a long prompt.
+        let extension_start = Instant::now();
+        loop {
+            let extension_end = until + patience(&self.answers, question);
+            if !self.receive_next(extension_end).await {
+                // Time before `extension_start` is already part of `overrun`.
+                return overrun + extension_end.max(extension_start).elapsed();
+            }
+        }
+    }
+
+    /// Receives the next answer; returns false if none is outstanding or none arrives by
+    /// `until`. An answer that is already available is received even after `until`.
+    async fn receive_next(&mut self, until: Instant) -> bool {
+        match timeout_at(until, self.pending.next()).await {
+            Ok(Some(answer)) => {
+                self.answers.extend(answer);
+                true
+            }
+            Ok(None) | Err(_) => false,
+        }
+    }
+}
+
+/// Returns how long a wait is extended for late answers.
+fn patience(answers: &[Answered], question: &Question<'_>) -> Duration {
+    let blocks = question.chains.values().map(Chain::len).max().unwrap_or(0) as u64;
+    let views: Vec<_> = answers.iter().map(|answer| answer.view.clone()).collect();
+    let most_ms = LAST_WAIT.as_secs_f64() * 1e3;
+    Duration::from_secs_f64(patience_ms(&views, blocks, most_ms) / 1e3)
+}
--- a/crates/bilberry-entry/src/knowledge.rs
+++ b/crates/bilberry-entry/src/knowledge.rs
@@ -10,20 +10,14 @@
 use bilberry_core::Name;
 use bilberry_core::ProbeView;
 use bilberry_core::Scope;
-use bilberry_core::patience_ms;
 use bilberry_node::Links;
 use bilberry_wire::Body;
 use bilberry_wire::Probe;
 use bilberry_wire::ProbeAnswer;
 use bilberry_wire::Readiness;
-use futures_util::Stream;
-use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use tokio::time::Instant;
-use tokio::time::timeout_at;
 
-/// How much longer late answers are waited for at the most.
-const LAST_WAIT: Duration = Duration::from_millis(50);
+use crate::collect_answers;
 
 /// One upstream to be asked.
 #[derive(Debug, Clone)]
@@ -132,60 +126,10 @@
             .enumerate()
             .map(|(at, target)| self.probe(at, target, question))
             .collect();
-        let mut intake = Intake::new(asking);
-        let until = Instant::now() + question.wait;
-        while intake.take(until).await {}
-        // Any answer beats a guess, and a holder that is late, as over a link that
-        // is just being opened after a restart, beats recomputing a long prompt.
-        while intake.take(until + patience(&intake.answers, question)).await {}
-        // Answers that came while this process stood still lie in its sockets. Were
-        // they not read, the silence would be its own, and put down to its peers.
-        let until = Instant::now() + intake.stood_still.min(question.wait);
-        while intake.take(until).await {}
-        // Equal scores are decided by order, which must not be that of arrival.
-        intake.answers.sort_by_key(|answer| answer.target);
-        intake.answers
+        collect_answers(asking, question).await
     }
 }
 
-/// Answers as they come in.
-struct Intake<S> {
-    asking: S,
-    answers: Vec<Answered>,
-    /// By how much waits ended late, as this process had no processor time.
-    stood_still: Duration,
-}
-
-impl<S: Stream<Item = Option<Answered>> + Unpin> Intake<S> {
-    fn new(asking: S) -> Self {
-        Self { asking, answers: Vec::new(), stood_still: Duration::ZERO }
-    }
-
-    /// Takes in the next answer; returns false if none is left or `until` has come.
-    async fn take(&mut self, until: Instant) -> bool {
-        let until = until.max(Instant::now());
-        match timeout_at(until, self.asking.next()).await {
-            Ok(Some(answer)) => {
-                self.answers.extend(answer);
-                true
-            }
-            Ok(None) => false,
-            Err(_) => {
-                self.stood_still += until.elapsed();
-                false
-            }
-        }
-    }
-}
-
-/// Returns how much longer late answers are waited for.
-fn patience(answers: &[Answered], question: &Question<'_>) -> Duration {
-    let blocks = question.chains.values().map(Chain::len).max().unwrap_or(0) as u64;
-    let views: Vec<_> = answers.iter().map(|answer| answer.view.clone()).collect();
-    let most_ms = LAST_WAIT.as_secs_f64() * 1e3;
-    Duration::from_secs_f64(patience_ms(&views, blocks, most_ms) / 1e3)
-}
-
 fn answered(at: usize, target: &Target, answer: &ProbeAnswer) -> Answered {
     let weights = Name::from(answer.weights.as_str());
     // The fingerprints were made for other weights: nothing held counts.
