Extract the reconciliation of sidecar feeds into a function

The loop in follow_sidecars contained the comparison of feeds and upstreams as a nested block. It is now reconcile_feeds.

A notice is now built from a borrowed pool summary instead of a clone of it.

No change in behaviour.

--- a/crates/bilberry-gateway/src/feeds.rs
+++ b/crates/bilberry-gateway/src/feeds.rs
@@ -55,34 +55,47 @@
     gateway: Arc<Gateway<D, C>>,
     sidecar_port: u16,
 ) {
-    let mut feeds: HashMap<(Name, SocketAddr), JoinHandle<()>> = HashMap::new();
+    let mut feeds = Feeds::new();
     let publisher = gateway.clone();
     tokio::spawn(async move { publisher.maintain_pool_summaries().await });
     let mut previous = None;
     loop {
         let current = (gateway.upstreams.by_pool(), gateway.policy());
         if previous.as_ref().is_none_or(|previous| !is_unchanged(previous, &current)) {
-            let (by_pool, _) = &current;
-            let place = |upstream: &Arc<Upstream>| {
-                let address = SocketAddr::new(upstream.address.ip(), sidecar_port);
-                (upstream.id.clone(), address)
-            };
-            let upstreams = || by_pool.values().flat_map(|pool| pool.iter());
-            let listed: HashSet<_> = upstreams().map(place).collect();
-            for (_, feed) in feeds.extract_if(|followed, _| !listed.contains(followed)) {
-                feed.abort();
-            }
-            for upstream in upstreams().filter(|upstream| gateway.is_engine(upstream)) {
-                feeds.entry(place(upstream)).or_insert_with_key(|(id, address)| {
-                    tokio::spawn(follow(gateway.clone(), id.clone(), *address))
-                });
-            }
+            reconcile_feeds(&mut feeds, &gateway, &current.0, sidecar_port);
             previous = Some(current);
         }
         sleep(LOOK_EVERY).await;
     }
 }
 
+/// The tasks that follow sidecars, keyed by upstream ID and sidecar address.
+type Feeds = HashMap<(Name, SocketAddr), JoinHandle<()>>;
+
+/// Aborts the feeds of upstreams that are no longer listed and starts the missing feeds of
+/// engines.
+fn reconcile_feeds<D: Dialect, C: Clock>(
+    feeds: &mut Feeds,
+    gateway: &Arc<Gateway<D, C>>,
+    by_pool: &UpstreamsByPool,
+    sidecar_port: u16,
+) {
+    let place = |upstream: &Arc<Upstream>| {
+        let address = SocketAddr::new(upstream.address.ip(), sidecar_port);
+        (upstream.id.clone(), address)
+    };
+    let upstreams = || by_pool.values().flat_map(|pool| pool.iter());
+    let listed: HashSet<_> = upstreams().map(place).collect();
+    for (_, feed) in feeds.extract_if(|followed, _| !listed.contains(followed)) {
+        feed.abort();
+    }
+    for upstream in upstreams().filter(|upstream| gateway.is_engine(upstream)) {
+        feeds.entry(place(upstream)).or_insert_with_key(|(id, address)| {
+            tokio::spawn(follow(gateway.clone(), id.clone(), *address))
+        });
+    }
+}
+
 /// The upstreams and the configuration, which determine the set of feeds.
 type FeedInputs = (Arc<UpstreamsByPool>, Option<Arc<Policy>>);
 
@@ -159,8 +172,10 @@
             summaries.mark_changed();
         }
         if summaries.has_changed().unwrap_or(false) {
-            let summary = summaries.borrow_and_update().get(&upstream.pool).cloned();
-            let notice = summary.map(|summary| summary.notice(&upstream));
+            let notice = {
+                let summaries = summaries.borrow_and_update();
+                summaries.get(&upstream.pool).map(|summary| summary.notice(&upstream))
+            };
             if let Some(notice) = notice.filter(|n| noticed.as_ref() != Some(n)) {
                 gateway.stores.forget_teller(id, &notice.prompt_stores);
                 let body = Some(Body::EntryNotice(notice.clone()));
@@ -246,7 +261,8 @@
     }
 }
 
-/// Reports whether an identity that was off the list for a moment is back.
+/// Reports whether two values of an upstream have the same incarnation, which means that it was
+/// briefly unlisted and then listed again.
 ///
 /// What its cache holds was told before; only a new connection tells it all again.
 fn was_listed_anew(before: &Upstream, upstream: &Upstream) -> bool {
