Log the request limit that a server reports

A server in need reports in its answers how many requests a second it accepts from all entries together (Server-Limit). Nothing read it, so logs could not tell a limit that is ignored from one that each entry keeps alone, nor from one that is dropped again. No decision uses it.

--- a/crates/bilberry-gateway/src/call.rs
+++ b/crates/bilberry-gateway/src/call.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use bilberry_core::Name;
+use bilberry_core::ReportedLimit;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::HeaderMap;
@@ -158,7 +159,7 @@
 }
 
 /// The status that an upstream reports with any response.
-#[derive(Debug, Copy, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Copy, Clone, Default, PartialEq)]
 pub struct ServerStatus {
     /// The upstream's load, if reported.
     pub load: Option<ServerLoad>,
@@ -166,6 +167,8 @@
     pub is_shutting_down: bool,
     /// How long this entry should send nothing, if the upstream rejected a request.
     pub retry_after_ms: Option<u64>,
+    /// How many requests per second the upstream accepts from all entries together.
+    pub limit: ReportedLimit,
 }
 
 /// Translates between a platform's headers and the gateway's types.
--- a/crates/bilberry-gateway/src/upstream/live.rs
+++ b/crates/bilberry-gateway/src/upstream/live.rs
@@ -2,6 +2,7 @@
 
 use bilberry_core::Incarnation;
 use bilberry_core::Name;
+use bilberry_core::ReportedLimit;
 use bilberry_core::UnixMs;
 use bilberry_wire::UpstreamState;
 
@@ -39,6 +40,8 @@
     pub(super) backoff_until: UnixMs,
     /// The end of the pause that it has requested; no later answer or state shortens it.
     pub(super) paused_until: UnixMs,
+    /// The request limit in its last answer.
+    pub(super) limit: ReportedLimit,
     /// Whether its sidecar or the last send indicates that it is down.
     pub(super) seems_down: bool,
     /// Whether its sidecar stopped sending on an open connection, and neither the sidecar
@@ -71,6 +74,7 @@
             failures: 0,
             backoff_until: UnixMs(0),
             paused_until: UnixMs(0),
+            limit: ReportedLimit::Unlimited,
             seems_down: false,
             unresponsive: false,
             probes: 0,
