--- a/crates/bilberry-core/src/lib.rs
+++ b/crates/bilberry-core/src/lib.rs
@@ -122,6 +122,8 @@
 pub use quota::RankedOwner;
 pub use quota::combine_replies;
 pub use request_key::RequestKey;
+pub use request_limit::LimitGate;
+pub use request_limit::LimitReport;
 pub use request_limit::ReportedLimit;
 pub use request_limit::RequestLimit;
 pub use retry::RetryBudget;
--- a/crates/bilberry-core/src/request_limit.rs
+++ b/crates/bilberry-core/src/request_limit.rs
@@ -1,64 +1,19 @@
-//! The rate of requests that a server accepts from all entries together.
-
-use std::fmt;
-
-/// The lowest rate at which a limited server gets requests, in requests per second.
-///
-/// The end of a limit shows only in a response, so a server that accepts nothing still
-/// gets a request now and then.
-const MIN_PER_S: f64 = 0.1;
-
-/// The rate from which a limit has no effect, in requests per second.
-///
-/// No deployment sends that many requests to one server.
-const MAX_PER_S: f64 = 10_000.0;
-
-/// A limit on the requests that a server accepts per second from all entries together.
-#[derive(Debug, Copy, Clone, PartialEq, PartialOrd)]
-pub struct RequestLimit {
-    per_s: f64,
-}
-
-/// What a response says about the limit of its server.
-#[derive(Debug, Copy, Clone, Default, PartialEq)]
-pub enum ReportedLimit {
-    /// The server accepts requests at this limit.
-    Limited(RequestLimit),
-    /// The server has no limit.
-    Unlimited,
-    /// The response does not tell, as its value is invalid.
-    #[default]
-    Unknown,
-}
-
-impl RequestLimit {
-    /// Returns the limit in requests per second.
-    pub fn per_s(self) -> f64 {
-        self.per_s
-    }
-}
-
-impl ReportedLimit {
-    /// Interprets a reported rate, in requests per second.
-    pub fn from_rate(per_s: f64) -> Self {
-        match per_s {
-            _ if !per_s.is_finite() || per_s < 0.0 => Self::Unknown,
-            _ if per_s >= MAX_PER_S => Self::Unlimited,
-            _ => Self::Limited(RequestLimit { per_s: per_s.max(MIN_PER_S) }),
-        }
-    }
-
-    /// Returns the limit, if there is one.
-    pub fn limit(self) -> Option<RequestLimit> {
-        match self {
-            Self::Limited(limit) => Some(limit),
-            Self::Unlimited | Self::Unknown => None,
-        }
-    }
-}
-
-impl fmt::Display for RequestLimit {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/s", self.per_s)
-    }
-}
+//! Limits that servers set on the requests from all entries together.
+//!
+//! A server reports in its responses how many requests per second it accepts from all
+//! entries. Each entry keeps the most recent report that it knows of, its own or another
+//! entry's, and has a request charged to the limit before it sends it. The owners of
+//! customer quotas keep the bucket, so the sum over all entries stays within the limit.
+//! Designed for some requests per second to one server, asked for by hundreds of entries.
+//!
+//! - [`LimitReport`] orders reports, so that they can be merged in any order.
+//! - [`LimitGate`] decides when an entry may ask again after a denied charge.
+
+mod gate;
+mod limit;
+mod report;
+
+pub use gate::LimitGate;
+pub use limit::ReportedLimit;
+pub use limit::RequestLimit;
+pub use report::LimitReport;
