Keep the request limit of a server over all entries

Class: a limit on a sum over all entries that nobody keeps; a limit kept by each entry alone would not have bound either, as each sends about one request a second.

A response's limit is part of the status that is tied to the server's incarnation. An entry has each request to such a server charged at the owners of customer quotas, after placement and before it is sent; if it is denied, the request is placed elsewhere. A limit that an entry learns goes to the owners, which relay it to all entries, also to those that start later. A response without the limit ends it only if it is the server's own and its request was sent after the last report; a response to a control call never does. While all servers of a service are held back by limits or pauses for longer than a request may wait, with those that wait before it, it is rejected at once with the time of the next.

--- a/crates/bilberry-core/src/lib.rs
+++ b/crates/bilberry-core/src/lib.rs
@@ -126,6 +126,7 @@
 pub use request_limit::LimitReport;
 pub use request_limit::ReportedLimit;
 pub use request_limit::RequestLimit;
+pub use request_limit::time_to_admit_ms;
 pub use retry::RetryBudget;
 pub use retry::backoff_ms;
 pub use retry::retry_after_ms;
--- a/crates/bilberry-core/src/request_limit.rs
+++ b/crates/bilberry-core/src/request_limit.rs
@@ -16,4 +16,5 @@
 pub use gate::LimitGate;
 pub use limit::ReportedLimit;
 pub use limit::RequestLimit;
+pub use limit::time_to_admit_ms;
 pub use report::LimitReport;
--- a/crates/bilberry-core/src/request_limit/gate.rs
+++ b/crates/bilberry-core/src/request_limit/gate.rs
@@ -22,7 +22,9 @@
 #[derive(Debug, Copy, Clone, Default)]
 pub struct LimitGate {
     report: Option<LimitReport>,
-    closed_until: UnixMs,
+    /// Until when a charge awaits its decision.
+    undecided_until: UnixMs,
+    denied_until: UnixMs,
     /// The number of denied charges since the last admitted one.
     denials: u32,
 }
@@ -52,15 +54,21 @@
         self.report.and_then(|report| report.limit)
     }
 
-    /// Returns until when no request may be sent, if that is in the future.
-    pub fn closed_until(&self, now: UnixMs) -> Option<UnixMs> {
-        let is_closed = self.limit().is_some() && !self.closed_until.has_passed_at(now);
-        is_closed.then_some(self.closed_until)
+    /// Returns whether a request may ask for a charge.
+    pub fn is_open(&self, now: UnixMs) -> bool {
+        self.denied_until(now).is_none()
+            && (self.limit().is_none() || self.undecided_until.has_passed_at(now))
+    }
+
+    /// Returns until when all charges are expected to be denied, if that is in the future.
+    pub fn denied_until(&self, now: UnixMs) -> Option<UnixMs> {
+        let is_denied = self.limit().is_some() && !self.denied_until.has_passed_at(now);
+        is_denied.then_some(self.denied_until)
     }
 
     /// Records that a charge awaits its decision.
     pub fn await_decision(&mut self, now: UnixMs) {
-        self.closed_until = now.plus_ms(DECISION_TIMEOUT_MS);
+        self.undecided_until = now.plus_ms(DECISION_TIMEOUT_MS);
     }
 
     /// Records that a charge was admitted.
@@ -83,11 +91,13 @@
         let longest = exponential.min(entries / ENTRIES_PER_BACKOFF).max(1) as f64;
         self.denials = self.denials.saturating_add(1);
         let factor = 1.0 + draw * (longest - 1.0);
-        self.closed_until = now.plus_ms((wait_ms as f64 * factor) as u64);
+        self.undecided_until = UnixMs::default();
+        self.denied_until = now.plus_ms((wait_ms as f64 * factor) as u64);
     }
 
     fn reopen(&mut self) {
-        self.closed_until = UnixMs::default();
+        self.undecided_until = UnixMs::default();
+        self.denied_until = UnixMs::default();
         self.denials = 0;
     }
 }
--- a/crates/bilberry-core/src/request_limit/limit.rs
+++ b/crates/bilberry-core/src/request_limit/limit.rs
@@ -82,3 +82,11 @@
         write!(f, "{}/s", self.per_s)
     }
 }
+
+/// Returns how long the limits of a service take to admit `ahead` requests of one entry.
+///
+/// `per_s` is the sum of the limits, of which each of `entries` entries gets a part.
+pub fn time_to_admit_ms(ahead: usize, per_s: f64, entries: usize) -> u64 {
+    let part_per_s = per_s / entries.max(1) as f64;
+    (ahead as f64 / part_per_s * 1_000.0) as u64
+}
--- a/crates/bilberry-core/tests/request_limit.rs
+++ b/crates/bilberry-core/tests/request_limit.rs
@@ -49,11 +49,11 @@
     let mut gate = LimitGate::default();
     gate.record(report(Some(1.0), 10));
     gate.record_denied(5_000, 1, 0.5, UnixMs(20));
-    assert!(gate.closed_until(UnixMs(30)).is_some());
+    assert!(!gate.is_open(UnixMs(30)));
     gate.record(report(Some(1.0), 30));
-    assert!(gate.closed_until(UnixMs(30)).is_some(), "the limit is the same");
+    assert!(!gate.is_open(UnixMs(30)), "the limit is the same");
     gate.record(report(Some(50.0), 40));
-    assert_eq!(gate.closed_until(UnixMs(40)), None);
+    assert!(gate.is_open(UnixMs(40)));
 }
 
 fn any_report() -> impl Strategy<Value = LimitReport> {
--- a/crates/bilberry-core/tests/request_limit_replay.rs
+++ b/crates/bilberry-core/tests/request_limit_replay.rs
@@ -102,7 +102,7 @@
         let gate = &mut self.gates[entry];
         let limit = ReportedLimit::from_rate(quota.rate_per_s).limit();
         gate.record(LimitReport { limit, at: UnixMs(quota.version) });
-        if gate.closed_until(now).is_some() {
+        if !gate.is_open(now) {
             return None;
         }
         self.asked += 1;
--- a/crates/bilberry-gateway/src/backup.rs
+++ b/crates/bilberry-gateway/src/backup.rs
@@ -139,6 +139,9 @@
             context.add_detail(obstacle);
             return None;
         }
+        if !self.acquire_permit(context, &backup).await {
+            return None;
+        }
         let changed = self.upstreams.changed.clone();
         let reservation =
             Reservation::take(backup, context.call.memory_tokens(), 0, changed);
--- a/crates/bilberry-gateway/src/feeds.rs
+++ b/crates/bilberry-gateway/src/feeds.rs
@@ -235,6 +235,10 @@
                 gateway.merge_crash_notice(notice);
                 None
             }
+            Some(Body::LimitNotice(notice)) => {
+                gateway.apply_limit_notice(&notice);
+                None
+            }
             Some(Body::WatchResponse(response)) => {
                 pending.resolve(call, response);
                 None
@@ -312,6 +316,7 @@
                 Body::QuotaRequest(request)
             }
             QuotaQuestion::Refund(refund) => Body::QuotaRefund(refund),
+            QuotaQuestion::Limit(notice) => Body::LimitNotice(notice),
         };
         Frame { call: self.last_call, body: Some(body), ..Frame::default() }
     }
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -200,6 +200,7 @@
             Err(_) => {
                 upstream.record_failure(self.clock.now());
                 self.connections.close_idle_to(upstream.address);
+                self.return_permit(context);
                 return SendOutcome::NotRun(NOT_CONNECTED);
             }
         };
@@ -228,6 +229,7 @@
             }
             Err(SendError::NotSent(_)) => {
                 upstream.record_failure(self.clock.now());
+                self.return_permit(context);
                 SendOutcome::NotRun(NOT_CONNECTED)
             }
             Err(SendError::NoResponse(_)) => {
@@ -315,9 +317,12 @@
             &reservation.upstream.id,
         );
         if !matches!(verdict, ResponseClass::Replaced | ResponseClass::Mismatched) {
-            let status =
-                self.dialect.server_status(response.status(), response.headers());
-            reservation.upstream.record_status(&status, self.clock.now());
+            self.record_server_status(
+                &reservation.upstream,
+                response.status(),
+                response.headers(),
+                context.sent_at,
+            );
         }
         match verdict {
             ResponseClass::Valid => {
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -36,6 +36,7 @@
 use crate::SpeedEstimates;
 use crate::Upstream;
 use crate::Upstreams;
+use crate::held_back::WaitingRequests;
 use crate::known_crashes::KnownCrashes;
 use crate::pool_summary::PoolSummaries;
 use crate::quota_client::QuotaClient;
@@ -82,6 +83,7 @@
     pub sidecars: SidecarPresenceMap,
     pub(crate) crashes: KnownCrashes,
     pub(crate) quotas: QuotaClient,
+    pub(crate) waiting: WaitingRequests,
     pub(crate) speed: SpeedEstimates,
     pub(crate) readings: Mutex<PrefillsInProgress>,
     pub(crate) log_budget: LogLineBudget,
@@ -111,6 +113,7 @@
             hubs: Hubs::default(),
             sidecars: SidecarPresenceMap::default(),
             crashes: KnownCrashes::default(),
+            waiting: WaitingRequests::default(),
             speed: SpeedEstimates::default(),
             readings: Mutex::default(),
             log_budget: LogLineBudget::default(),
--- a/crates/bilberry-gateway/src/metrics.rs
+++ b/crates/bilberry-gateway/src/metrics.rs
@@ -33,6 +33,8 @@
     pub sends: Family<OutcomeLabel, Counter>,
     /// Units charged to customers' quotas, by decision.
     pub quota_units: Family<OutcomeLabel, Counter>,
+    /// Requests charged to the limits of upstreams, by decision.
+    pub permits: Family<OutcomeLabel, Counter>,
     /// Runs that were in progress at an upstream when it crashed.
     pub crashed_runs: Counter,
     /// Requests put in quarantine because they crash servers.
@@ -74,6 +76,7 @@
             requests: Family::default(),
             sends: Family::default(),
             quota_units: Family::default(),
+            permits: Family::default(),
             crashed_runs: Counter::default(),
             quarantines: Counter::default(),
             first_byte_seconds: histogram(),
@@ -102,6 +105,8 @@
         registry.register("crashed_runs", help, self.crashed_runs.clone());
         let help = "Units of customer quotas by decision";
         registry.register("quota_units", help, self.quota_units.clone());
+        let help = "Requests charged to the limits of upstreams by decision";
+        registry.register("permits", help, self.permits.clone());
         let help = "Requests put in quarantine";
         registry.register("quarantines", help, self.quarantines.clone());
         let first = self.first_byte_seconds.clone();
@@ -147,6 +152,11 @@
         self.quota_units.get_or_create(&OutcomeLabel { outcome }).inc_by(units as u64);
     }
 
+    /// Counts the decision on a request to an upstream with a limit.
+    pub fn count_permit(&self, outcome: &'static str) {
+        self.permits.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts the outcome of an order to an engine without a sidecar.
     pub fn count_order(&self, outcome: &'static str) {
         self.orders.get_or_create(&OutcomeLabel { outcome }).inc();
--- a/crates/bilberry-gateway/src/placement.rs
+++ b/crates/bilberry-gateway/src/placement.rs
@@ -37,6 +37,7 @@
         let began = self.clock.now();
         let max_wait_ms = context.deadline.ms_since(began) / WAIT_DIVISOR;
         let until = began.plus_ms(max_wait_ms);
+        let waiting = self.waiting.enter(&context.pool.name);
         let reservation = loop {
             // Created before the check, so that no change in between is missed.
             let changed = self.upstreams.changed.notified();
@@ -46,7 +47,10 @@
             if let Some(choice) = self.choose(context) {
                 let Some(wait_until) = self.prefill_wait_deadline(context, &choice)
                 else {
-                    break Ok(self.take_seat(context, choice));
+                    if self.acquire_permit(context, &choice.upstream).await {
+                        break Ok(self.take_seat(context, choice));
+                    }
+                    continue;
                 };
                 retry_ms = wait_until.ms_since(checked_at);
                 waits_for_parts = true;
@@ -54,9 +58,10 @@
             let now = self.clock.now();
             let has_none = self.upstreams.is_list_complete()
                 && self.upstreams.of(&context.pool.name).is_empty();
-            let is_paused = self.all_paused_until(&context.pool.name, now);
-            let is_paused = is_paused.is_some_and(|paused_until| paused_until > until);
-            if until.has_passed_at(now) || has_none || is_paused {
+            let pool = &context.pool.name;
+            let held_back = self.held_back_until(pool, waiting.ahead, began, now);
+            let is_held_back = held_back.is_some_and(|free_at| free_at > until);
+            if until.has_passed_at(now) || has_none || is_held_back {
                 break Err(Refusal::NoCapacity);
             }
             if self.all_weights_barred(context, until, now) {
@@ -74,16 +79,6 @@
         reservation
     }
 
-    /// Returns when the first upstream of a service ends its pause, if all of them have
-    /// requested one; upstreams that are shutting down are ignored.
-    pub(crate) fn all_paused_until(&self, pool: &Name, now: UnixMs) -> Option<UnixMs> {
-        let upstreams = self.upstreams.of(pool);
-        let not_leaving = upstreams.iter().filter(|upstream| !upstream.is_leaving());
-        let ends: Option<Vec<UnixMs>> =
-            not_leaving.map(|upstream| upstream.paused_until(now)).collect();
-        ends?.into_iter().min()
-    }
-
     /// Reports whether all upstreams have weights that are too old, and none of them may
     /// load others by `until`.
     ///
--- a/crates/bilberry-gateway/src/quota.rs
+++ b/crates/bilberry-gateway/src/quota.rs
@@ -81,6 +81,7 @@
             max_wait_ms: left_ms / RETRY_AFTER_DIVISOR,
             is_takeover: false,
             entries: 0,
+            version_age_ms: None,
         };
         let decision = match self.decide_at_owners(&request, context).await {
             Some(decision) => Some(decision),
@@ -149,7 +150,7 @@
     }
 
     /// Adds the answers that arrive in time.
-    async fn ask_owners(
+    pub(crate) async fn ask_owners(
         &self,
         request: &QuotaRequest,
         owners: &[RankedOwner],
@@ -232,6 +233,15 @@
         Some(decision)
     }
 
+    /// Returns the number of entries that share quotas and limits.
+    pub(crate) fn entries_sharing(&self) -> usize {
+        let counted = self.entries.lock().unwrap().current();
+        match self.quotas.state.lock().unwrap().entries.current(self.clock.now()) {
+            0 => counted.unwrap_or(ASSUMED_ENTRIES),
+            told => told,
+        }
+    }
+
     /// Charges the request to this entry's part of the quota.
     fn charge_isolated(
         &self,
@@ -241,12 +251,8 @@
         context: &mut RequestContext,
     ) -> bool {
         let now = self.clock.now();
-        let counted = self.entries.lock().unwrap().current();
+        let entries = self.entries_sharing();
         let mut state = self.quotas.state.lock().unwrap();
-        let entries = match (state.entries.current(now), counted) {
-            (0, counted) => counted.unwrap_or(ASSUMED_ENTRIES),
-            (told, _) => told,
-        };
         context.add_detail(&format!("quota: cost {cost}, no owner, {entries} entries"));
         let draw = rand::random();
         state.isolated.charge(customer, quota, cost, entries, draw, now)
--- a/crates/bilberry-gateway/src/quota_client.rs
+++ b/crates/bilberry-gateway/src/quota_client.rs
@@ -12,6 +12,7 @@
 use bilberry_core::QuotaDecision;
 use bilberry_core::RankedOwner;
 use bilberry_core::UnixMs;
+use bilberry_wire::LimitNotice;
 use bilberry_wire::QuotaRefund;
 use bilberry_wire::QuotaRequest;
 use bilberry_wire::QuotaResponse;
@@ -64,6 +65,8 @@
     },
     /// Takes back a charge.
     Refund(QuotaRefund),
+    /// Reports the request limit of a server.
+    Limit(LimitNotice),
 }
 
 /// The charge of a request at its owners.
--- a/crates/bilberry-gateway/src/request_context.rs
+++ b/crates/bilberry-gateway/src/request_context.rs
@@ -54,6 +54,9 @@
     pub tried: Vec<Arc<Upstream>>,
     /// What was charged to the customer's quota.
     pub(crate) quota: Option<ChargedQuota>,
+    /// What was charged to the request limit of the chosen upstream, until the request is
+    /// sent.
+    pub(crate) permit: Option<ChargedQuota>,
     /// The number of sends.
     pub sends: u32,
     /// The time of the last send.
--- a/crates/bilberry-gateway/src/run_stop.rs
+++ b/crates/bilberry-gateway/src/run_stop.rs
@@ -169,8 +169,7 @@
         run.stop_requested.store(true, Ordering::Relaxed);
         let response = connection.send(self.dialect.stop_call(&stop)).await.ok()?;
         let status = response.status();
-        let server_status = self.dialect.server_status(status, response.headers());
-        run.upstream.record_status(&server_status, self.clock.now());
+        self.record_control_status(&run.upstream, status, response.headers());
         let body = Limited::new(response.into_body(), MAX_STOP_REPLY_BYTES).collect();
         let body = body.await.ok()?.to_bytes();
         match self.dialect.stop_reply(status, &body) {
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -40,8 +40,8 @@
 /// Callers honour the header only up to a third of the time that they have left.
 const RETRY_AFTER_DIVISOR: u64 = 4;
 
-/// The divisor of a pause that gives the range over which retries after it are spread.
-const PAUSE_SPREAD_DIVISOR: u64 = 4;
+/// The divisor of a wait that gives the range over which retries after it are spread.
+const WAIT_SPREAD_DIVISOR: u64 = 4;
 
 /// The shortest and the longest `Retry-After` of a refused request, in milliseconds.
 ///
@@ -169,6 +169,7 @@
             deadline,
             tried: Vec::new(),
             quota: None,
+            permit: None,
             sends: 0,
             sent_at: arrived_at,
             sent_to: None,
@@ -229,10 +230,10 @@
         self.record_outcome(context, refusal.code());
         let now = self.clock.now();
         let left_ms = context.deadline.ms_since(now);
-        let paused_until = self.all_paused_until(&context.pool.name, now);
+        let room_at = self.room_expected_at(&context.pool.name, now);
         let outage_range_ms = self.outage_retry_range_ms(&context.pool.name, left_ms);
-        let pause_ms = paused_until.map(|until| until.ms_since(now));
-        let range_ms = outage_range_ms.or(pause_ms.map(retry_range_after_pause_ms));
+        let wait_ms = room_at.map(|room_at| room_at.ms_since(now));
+        let range_ms = outage_range_ms.or(wait_ms.map(retry_range_after_wait_ms));
         refusal.to_response(match (refusal, range_ms) {
             (Refusal::NoWeights, _) => late_retry_after_ms(left_ms),
             (Refusal::Quarantined { for_ms }, _) => *for_ms,
@@ -252,10 +253,10 @@
     rand::random_range(min.min(max)..=max)
 }
 
-/// Returns the range of retry delays if all upstreams have requested pauses, the first of
-/// which ends in `pause_ms`.
-fn retry_range_after_pause_ms(pause_ms: u64) -> (u64, u64) {
-    (pause_ms, pause_ms + (pause_ms / PAUSE_SPREAD_DIVISOR).max(RETRY_AFTER_RANGE_MS.0))
+/// Returns the range of retry delays if all upstreams are held back, and room is expected
+/// in `wait_ms`.
+fn retry_range_after_wait_ms(wait_ms: u64) -> (u64, u64) {
+    (wait_ms, wait_ms + (wait_ms / WAIT_SPREAD_DIVISOR).max(RETRY_AFTER_RANGE_MS.0))
 }
 
 /// Returns a random retry delay for a caller for which no upstream has the weights.
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -1,5 +1,6 @@
 //! The current knowledge of an entry about one upstream.
 
+mod limit;
 mod live;
 pub(crate) mod reservation;
 
@@ -11,8 +12,6 @@
 use bilberry_core::Incarnation;
 use bilberry_core::Name;
 use bilberry_core::PlacementCandidate;
-use bilberry_core::ReportedLimit;
-use bilberry_core::RequestLimit;
 use bilberry_core::SidecarStatus;
 use bilberry_core::StorePosition;
 use bilberry_core::UnixMs;
@@ -349,15 +348,6 @@
             self.status_changed.notify_one();
             log::info!(target: "upstream", upstream = self.id.as_str(); "announced shutdown in an answer");
         }
-        if status.limit != ReportedLimit::Unknown && status.limit != live.limit {
-            live.limit = status.limit;
-            log::info!(
-                target: "upstream",
-                upstream = self.id.as_str(),
-                limit_per_s = status.limit.limit().map(RequestLimit::per_s);
-                "reported a changed request limit in an answer"
-            );
-        }
         if let Some(retry_after_ms) = status.retry_after_ms {
             log::info!(target: "upstream", upstream = self.id.as_str(), retry_after_ms; "turned a request away with Retry-After");
             let until = now.plus_ms(retry_after_ms.min(MAX_PAUSE_MS));
--- a/crates/bilberry-gateway/src/upstream/live.rs
+++ b/crates/bilberry-gateway/src/upstream/live.rs
@@ -1,8 +1,8 @@
 //! The mutable state of one incarnation of an upstream.
 
 use bilberry_core::Incarnation;
+use bilberry_core::LimitGate;
 use bilberry_core::Name;
-use bilberry_core::ReportedLimit;
 use bilberry_core::UnixMs;
 use bilberry_wire::UpstreamState;
 
@@ -40,8 +40,10 @@
     pub(super) backoff_until: UnixMs,
     /// The end of the pause that it has requested; no later answer or state shortens it.
     pub(super) paused_until: UnixMs,
-    /// The request limit in its last answer.
-    pub(super) limit: ReportedLimit,
+    /// Its request limit, and when this entry may next ask for a request.
+    pub(super) limit: LimitGate,
+    /// When the limit was last passed on to other entries.
+    pub(super) limit_passed_on_at: UnixMs,
     /// Whether its sidecar or the last send indicates that it is down.
     pub(super) seems_down: bool,
     /// Whether its sidecar stopped sending on an open connection, and neither the sidecar
@@ -74,7 +76,8 @@
             failures: 0,
             backoff_until: UnixMs(0),
             paused_until: UnixMs(0),
-            limit: ReportedLimit::Unlimited,
+            limit: LimitGate::default(),
+            limit_passed_on_at: UnixMs(0),
             seems_down: false,
             unresponsive: false,
             probes: 0,
@@ -104,6 +107,8 @@
         let is_free = is_free && (!self.unresponsive || self.probes == 0);
         let is_paused = !self.paused_until.has_passed_at(now);
         let backs_off = !self.backoff_until.has_passed_at(now);
-        is_serving && is_free && !self.leaving && !is_paused && !backs_off
+        let is_limited = !self.limit.is_open(now);
+        let is_held_back = is_paused || backs_off || is_limited;
+        is_serving && is_free && !self.leaving && !is_held_back
     }
 }
--- a/crates/bilberry-gateway/src/upstreams.rs
+++ b/crates/bilberry-gateway/src/upstreams.rs
@@ -10,6 +10,7 @@
 use arc_swap::ArcSwap;
 use bilberry_core::Incarnation;
 use bilberry_core::IncarnationOrder;
+use bilberry_core::LimitReport;
 use bilberry_core::Name;
 use bilberry_core::UnixMs;
 use bilberry_wire::CacheChange;
@@ -19,10 +20,10 @@
 use crate::Listing;
 use crate::Upstream;
 
-/// The maximum number of unlisted upstreams whose announced shutdown is remembered.
+/// The maximum number of unlisted upstreams whose reported status is remembered.
 ///
 /// Far more than leave within the seconds for which a list can be out of date.
-const MAX_ANNOUNCED: usize = 4_096;
+const MAX_REMEMBERED: usize = 4_096;
 
 /// The upstreams of each service, in an order that all entries agree on.
 pub(crate) type UpstreamsByPool = HashMap<Name, Arc<[Arc<Upstream>]>>;
@@ -33,8 +34,8 @@
     by_id: Mutex<HashMap<Name, Arc<Upstream>>>,
     by_pool: ArcSwap<UpstreamsByPool>,
     deferred: Mutex<DeferredListings>,
-    /// Unlisted upstreams that had announced their shutdown.
-    announced: Mutex<HashMap<Name, Arc<Upstream>>>,
+    /// Unlisted upstreams that had announced their shutdown or a request limit.
+    remembered: Mutex<HashMap<Name, Arc<Upstream>>>,
     listed: AtomicBool,
     /// Notified when an upstream may have free capacity again.
     pub changed: Arc<Notify>,
@@ -149,6 +150,24 @@
         order == IncarnationOrder::Same
     }
 
+    /// Applies the request limit that another entry learnt of.
+    ///
+    /// A report of any other than the current incarnation is ignored.
+    pub(crate) fn apply_limit(
+        &self,
+        id: &str,
+        incarnation: Option<Incarnation>,
+        report: LimitReport,
+        now: UnixMs,
+    ) {
+        let Some(known) = self.get(id) else { return };
+        let order = Incarnation::compare(known.incarnation(), incarnation);
+        if order == IncarnationOrder::Same {
+            known.record_limit(report, now);
+            self.changed.notify_waiters();
+        }
+    }
+
     /// Returns the current incarnation of an upstream.
     pub fn get(&self, id: &str) -> Option<Arc<Upstream>> {
         self.by_id.lock().unwrap().get(id).cloned()
@@ -165,33 +184,39 @@
         if let Some(removed) = by_id.remove(id) {
             removed.leave();
             self.publish(&by_id);
-            self.remember_announcement(removed);
+            self.remember_status(removed);
         }
     }
 
-    /// Remembers that a removed upstream has announced its shutdown, in case an
-    /// outdated list names it again.
-    fn remember_announcement(&self, removed: Arc<Upstream>) {
-        if !removed.has_announced_leaving() {
+    /// Remembers what a removed upstream has reported of itself, in case the list names
+    /// it again.
+    fn remember_status(&self, removed: Arc<Upstream>) {
+        if !removed.has_announced_leaving() && removed.request_limit().is_none() {
             return;
         }
-        let mut announced = self.announced.lock().unwrap();
-        if announced.len() >= MAX_ANNOUNCED {
-            announced.clear();
+        let mut remembered = self.remembered.lock().unwrap();
+        if remembered.len() >= MAX_REMEMBERED {
+            remembered.clear();
         }
-        announced.insert(removed.id.clone(), removed);
+        remembered.insert(removed.id.clone(), removed);
     }
 
-    /// Restores the announcement of an upstream whose same incarnation is listed again.
-    fn restore_announcement(&self, upstream: &Upstream) {
-        let Some(before) = self.announced.lock().unwrap().remove(&upstream.id) else {
+    /// Restores the status of an upstream whose same incarnation is listed again.
+    fn restore_status(&self, upstream: &Upstream) {
+        let Some(before) = self.remembered.lock().unwrap().remove(&upstream.id) else {
             return;
         };
         let order = Incarnation::compare(before.incarnation(), upstream.incarnation());
-        if order == IncarnationOrder::Same && before.address == upstream.address {
+        if order != IncarnationOrder::Same || before.address != upstream.address {
+            return;
+        }
+        if before.has_announced_leaving() {
             log::info!(target: "upstream", upstream = upstream.id.as_str(); "ignoring a listing of a server that announced its shutdown");
             upstream.announce_leaving();
         }
+        if let Some(report) = before.limit_report() {
+            upstream.restore_limit(report);
+        }
     }
 
     /// Records that the complete list has been read.
@@ -248,7 +273,7 @@
         mut upstream: Upstream,
     ) -> Arc<Upstream> {
         upstream.set_status_notify(self.status_changed.clone());
-        self.restore_announcement(&upstream);
+        self.restore_status(&upstream);
         let upstream = Arc::new(upstream);
         by_id.insert(upstream.id.clone(), upstream.clone());
         retire_older(by_id, &upstream);
--- a/crates/bilberry-gateway/tests/incarnations.rs
+++ b/crates/bilberry-gateway/tests/incarnations.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use bilberry_core::Incarnation;
+use bilberry_core::LimitReport;
 use bilberry_core::Name;
 use bilberry_core::PlacementCandidate;
+use bilberry_core::ReportedLimit;
 use bilberry_core::StorePosition;
 use bilberry_core::UnixMs;
 use bilberry_gateway::EngineConfig;
@@ -333,3 +335,32 @@
     assert!(offer(&upstreams).usable);
     assert!(upstreams.get("engine-9").expect("it is listed").is_leaving());
 }
+
+/// Records a request limit that the upstream has reported.
+fn report_limit(upstreams: &Upstreams) {
+    let limit = ReportedLimit::from_rate(1.6).limit();
+    current(upstreams).record_limit(LimitReport { limit, at: NOW }, NOW);
+    assert!(current(upstreams).request_limit().is_some());
+}
+
+#[test]
+fn a_request_limit_does_not_outlive_a_restart() {
+    for by_list in [true, false] {
+        let upstreams = one_upstream();
+        report_limit(&upstreams);
+        restart(&upstreams, by_list);
+        assert_eq!(current(&upstreams).request_limit(), None);
+    }
+}
+
+#[test]
+fn a_request_limit_outlives_a_removal_from_the_list() {
+    let upstreams = one_upstream();
+    report_limit(&upstreams);
+    upstreams.remove(ID);
+    upstreams.apply_listing(&listed(Some(1), 5));
+    assert!(current(&upstreams).request_limit().is_some());
+    upstreams.remove(ID);
+    upstreams.apply_listing(&listed(Some(2), 5));
+    assert_eq!(current(&upstreams).request_limit(), None);
+}
--- a/crates/bilberry-steward/src/feed.rs
+++ b/crates/bilberry-steward/src/feed.rs
@@ -36,6 +36,7 @@
 use crate::EngineState;
 use crate::FollowedStore;
 use crate::LatestWeights;
+use crate::LimitRelay;
 use crate::PromptStores;
 use crate::QuotaOwner;
 use crate::WatchHub;
@@ -79,6 +80,8 @@
     pub hub: Arc<WatchHub<S, C>>,
     /// The customer quotas kept for all entries.
     pub quotas: Arc<QuotaOwner<C>>,
+    /// The request limits of servers that entries report.
+    pub limits: LimitRelay,
     /// The clock for load times and reports.
     pub clock: C,
 }
@@ -152,6 +155,10 @@
     for notice in known_crashes {
         send(&mut framed, Body::CrashNotice(notice)).await?;
     }
+    let (known_limits, mut limits) = feed.limits.subscribe(feed.clock.now());
+    for notice in known_limits {
+        send(&mut framed, Body::LimitNotice(notice)).await?;
+    }
     loop {
         let sent = state.borrow_and_update().clone();
         let now = feed.clock.now();
@@ -201,6 +208,19 @@
                         send(&mut framed, Body::CrashNotice(notice)).await?;
                     }
                 }
+                notice = limits.recv() => {
+                    let notices = match notice {
+                        Ok(notice) => vec![notice],
+                        Err(_) => {
+                            let (all, later) = feed.limits.subscribe(feed.clock.now());
+                            limits = later;
+                            all
+                        }
+                    };
+                    for notice in notices {
+                        send(&mut framed, Body::LimitNotice(notice)).await?;
+                    }
+                }
                 Some(answer) = watches.next(), if !watches.is_empty() => {
                     framed.send(answer).await?;
                 }
@@ -226,6 +246,10 @@
                             framed.send(Frame { call, body, ..Frame::default() }).await?;
                             continue;
                         }
+                        Some(Body::LimitNotice(notice)) => {
+                            feed.limits.merge(&notice, feed.clock.now());
+                            continue;
+                        }
                         Some(Body::QuotaRefund(refund)) => {
                             feed.quotas.refund(&refund);
                             continue;
--- a/crates/bilberry-steward/src/quota_owner.rs
+++ b/crates/bilberry-steward/src/quota_owner.rs
@@ -68,7 +68,9 @@
         let quota = Quota {
             rate_per_s: request.rate_per_s,
             burst: request.burst,
-            version: request.config_version,
+            version: request
+                .version_age_ms
+                .map_or(request.config_version, |age_ms| now.0.saturating_sub(age_ms)),
         };
         let charge = QuotaCharge {
             cost: request.cost,
--- a/crates/bilberry-wire/src/frame.rs
+++ b/crates/bilberry-wire/src/frame.rs
@@ -10,6 +10,7 @@
 use crate::EventsRequest;
 use crate::EventsResponse;
 use crate::Finished;
+use crate::LimitNotice;
 use crate::PiecesRequest;
 use crate::PiecesResponse;
 use crate::PlainAnswer;
@@ -44,7 +45,7 @@
     #[prost(
         oneof = "Body",
         tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, \
-                                    18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 30, 31, 32, 33, 34, 35, 36, 37"
+                                    18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 30, 31, 32, 33, 34, 35, 36, 37, 38"
     )]
     pub body: Option<Body>,
 }
@@ -154,6 +155,9 @@
     /// Takes back the charge of a request that did not run.
     #[prost(message, tag = "37")]
     QuotaRefund(QuotaRefund),
+    /// Reports the request limit of a server; sent in both directions.
+    #[prost(message, tag = "38")]
+    LimitNotice(LimitNotice),
 }
 
 /// Identifies the process that opened a connection.
--- a/crates/bilberry-wire/src/quota.rs
+++ b/crates/bilberry-wire/src/quota.rs
@@ -30,6 +30,11 @@
     /// The number of entries that the sender knows.
     #[prost(uint64, tag = "9")]
     pub entries: u64,
+    /// The age of the limit, in milliseconds, if a server reported it.
+    ///
+    /// The sidecar then derives the version from its own clock, as hosts' clocks differ.
+    #[prost(uint64, optional, tag = "10")]
+    pub version_age_ms: Option<u64>,
 }
 
 /// The reply to a [`QuotaRequest`].
--- a/crates/bilberryd/src/hosted.rs
+++ b/crates/bilberryd/src/hosted.rs
@@ -40,6 +40,7 @@
 use bilberry_steward::EngineController;
 use bilberry_steward::Feed;
 use bilberry_steward::LatestWeights;
+use bilberry_steward::LimitRelay;
 use bilberry_steward::OrderGate;
 use bilberry_steward::PromptStores;
 use bilberry_steward::QuotaOwner;
@@ -251,7 +252,9 @@
     let quotas = Arc::new(QuotaOwner::new(clock));
     tokio::spawn(quotas.clone().run());
     let state = steward.state();
-    let feed_state = Feed { state, cache, stores, newest, crashes, hub, quotas, clock };
+    let limits = LimitRelay::new();
+    let feed_state =
+        Feed { state, cache, stores, newest, crashes, hub, quotas, limits, clock };
     tokio::spawn(serve_feed(feed, feed_state));
     tokio::spawn(steward.run());
     wait_for_signal().await;
