Reject callers at once while all servers of a service are limited

Cause: a request waited a third of its time for its turn under the limits, far longer than its target, and those that were refused were told to come back together after the first token. Now a request waits at most twice its target latency and only if the limits can admit those that wait already by then; each rejected caller gets the next free place in the order of the limits as its Retry-After. The limits admit the same number whoever waits.

--- a/crates/bilberry-gateway/src/placement.rs
+++ b/crates/bilberry-gateway/src/placement.rs
@@ -28,6 +28,13 @@
 /// The divisor of the time left to the deadline that gives the longest wait for capacity.
 const WAIT_DIVISOR: u64 = 3;
 
+/// The longest wait while all upstreams limit their requests, in multiples of the target
+/// latency.
+///
+/// The limits admit the same number of requests whoever waits, so those that would be
+/// late leave the place to others.
+const LIMITED_WAIT_TARGETS: u64 = 2;
+
 impl<D: Dialect, C: Clock> Gateway<D, C> {
     /// Waits for an upstream with capacity and reserves it.
     pub(crate) async fn acquire_seat(
@@ -37,6 +44,8 @@
         let began = self.clock.now();
         let max_wait_ms = context.deadline.ms_since(began) / WAIT_DIVISOR;
         let until = began.plus_ms(max_wait_ms);
+        let limited_wait_ms = context.route.target_ms * LIMITED_WAIT_TARGETS;
+        let limited_until = began.plus_ms(max_wait_ms.min(limited_wait_ms));
         let waiting = self.waiting.enter(&context.pool.name);
         let reservation = loop {
             // Created before the check, so that no change in between is missed.
@@ -58,10 +67,11 @@
             let now = self.clock.now();
             let has_none = self.upstreams.is_list_complete()
                 && self.upstreams.of(&context.pool.name).is_empty();
-            let pool = &context.pool.name;
-            let held_back = self.held_back_until(pool, waiting.ahead, began, now);
-            let is_held_back = held_back.is_some_and(|free_at| free_at > until);
-            if until.has_passed_at(now) || has_none || is_held_back {
+            let held_back = self.held_back(&context.pool.name, waiting.ahead, now);
+            let is_hopeless = held_back.is_some_and(|held_back| {
+                held_back.is_hopeless(began, until, limited_until, now)
+            });
+            if until.has_passed_at(now) || has_none || is_hopeless {
                 break Err(Refusal::NoCapacity);
             }
             if self.all_weights_barred(context, until, now) {
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -230,9 +230,11 @@
         self.record_outcome(context, refusal.code());
         let now = self.clock.now();
         let left_ms = context.deadline.ms_since(now);
-        let room_at = self.room_expected_at(&context.pool.name, now);
+        let return_at = matches!(refusal, Refusal::NoCapacity)
+            .then(|| self.reserve_return(&context.pool.name, now))
+            .flatten();
         let outage_range_ms = self.outage_retry_range_ms(&context.pool.name, left_ms);
-        let wait_ms = room_at.map(|room_at| room_at.ms_since(now));
+        let wait_ms = return_at.map(|return_at| return_at.ms_since(now));
         let range_ms = outage_range_ms.or(wait_ms.map(retry_range_after_wait_ms));
         refusal.to_response(match (refusal, range_ms) {
             (Refusal::NoWeights, _) => late_retry_after_ms(left_ms),
