Bound the wait after a denied request to a limited server

The time until a request can be admitted is divided by the rate that the owner may give to the entries in contact. With none registered, as just after the owner's start, that is zero and the wait endless: the gate of the entry would have closed until the server's limit changes. Found by reading. a_denial_without_an_end_closes_the_gate_for_seconds_only failed before.

--- a/crates/bilberry-core/src/request_limit/gate.rs
+++ b/crates/bilberry-core/src/request_limit/gate.rs
@@ -9,6 +9,11 @@
 /// One request at a time asks, as the decision holds for all that come meanwhile.
 const DECISION_TIMEOUT_MS: u64 = 500;
 
+/// The longest wait that an owner's denial causes, before the backoff.
+///
+/// An owner that no entry is registered with divides by a rate of zero.
+const MAX_WAIT_MS: u64 = 10_000;
+
 /// The largest binary exponent of the backoff after denied charges.
 const MAX_BACKOFF_EXPONENT: u32 = 8;
 
@@ -92,7 +97,8 @@
         self.denials = self.denials.saturating_add(1);
         let factor = 1.0 + draw * (longest - 1.0);
         self.undecided_until = UnixMs::default();
-        self.denied_until = now.plus_ms((wait_ms as f64 * factor) as u64);
+        self.denied_until =
+            now.plus_ms((wait_ms.min(MAX_WAIT_MS) as f64 * factor) as u64);
     }
 
     fn reopen(&mut self) {
--- a/crates/bilberry-core/tests/request_limit.rs
+++ b/crates/bilberry-core/tests/request_limit.rs
@@ -56,6 +56,15 @@
     assert!(gate.is_open(UnixMs(40)));
 }
 
+#[test]
+fn a_denial_without_an_end_closes_the_gate_for_seconds_only() {
+    // Guards against a server that gets no request again after its owners restart.
+    let mut gate = LimitGate::default();
+    gate.record(report(Some(1.0), 10));
+    gate.record_denied(u64::MAX, 5, 1.0, UnixMs(20));
+    assert!(gate.is_open(UnixMs(20_000)));
+}
+
 fn any_report() -> impl Strategy<Value = LimitReport> {
     let rate = prop::option::of(prop_oneof![Just(1.0), Just(2.0), 0.2f64..50.0]);
     (rate, 0u64..6).prop_map(|(per_s, at)| report(per_s, at))
