--- a/crates/bilberry-gateway/src/call.rs
+++ b/crates/bilberry-gateway/src/call.rs
@@ -156,6 +156,9 @@
     pub waiting: u64,
     /// The number of requests that can run concurrently.
     pub slots: u64,
+    /// How long work takes on its host at present, in percent of the usual time, if it
+    /// shares the host with others and reports that.
+    pub host_percent: Option<u64>,
 }
 
 /// The status that an upstream reports with any response.
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -40,6 +40,7 @@
 use crate::known_crashes::KnownCrashes;
 use crate::pool_summary::PoolSummaries;
 use crate::quota_client::QuotaClient;
+use crate::run_observation::SharedHosts;
 
 /// The startup settings of an entry.
 #[derive(Debug, Clone)]
@@ -85,6 +86,7 @@
     pub(crate) quotas: QuotaClient,
     pub(crate) waiting: WaitingRequests,
     pub(crate) speed: SpeedEstimates,
+    pub(crate) shared_hosts: SharedHosts,
     pub(crate) readings: Mutex<PrefillsInProgress>,
     pub(crate) log_budget: LogLineBudget,
     pub(crate) pool_summaries: watch::Sender<PoolSummaries>,
@@ -115,6 +117,7 @@
             crashes: KnownCrashes::default(),
             waiting: WaitingRequests::default(),
             speed: SpeedEstimates::default(),
+            shared_hosts: SharedHosts::default(),
             readings: Mutex::default(),
             log_budget: LogLineBudget::default(),
             pool_summaries: watch::Sender::default(),
@@ -150,6 +153,7 @@
         self.upstreams.set_configured_pools(policy.pools.keys().cloned());
         self.stores.configure(&policy);
         self.policy.store(Some(Arc::new(policy)));
+        self.upstreams.status_changed.notify_one();
     }
 
     /// Updates the record of when the configuration was last confirmed.
--- a/crates/bilberry-gateway/src/lib.rs
+++ b/crates/bilberry-gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod request_context;
 mod request_log;
 mod request_permit;
+mod run_observation;
 mod run_stop;
 mod serve;
 mod speed;
--- a/crates/bilberry-gateway/src/policy.rs
+++ b/crates/bilberry-gateway/src/policy.rs
@@ -1,10 +1,12 @@
 //! The operators' configuration in the form that a running entry uses.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bilberry_core::Name;
+use bilberry_core::pools_with_yielding_routes;
 use bilberry_node::ClientTimeouts;
 
 /// A complete and validated configuration.
@@ -16,6 +18,8 @@
     pub routes: HashMap<Name, Vec<Arc<Route>>>,
     /// The services that routes refer to.
     pub pools: HashMap<Name, Arc<Pool>>,
+    /// The services that order the requests which compete for them.
+    pub ordered_pools: HashSet<Name>,
     /// The customer of each API key; `None` if requests need no key.
     pub customers: Option<HashMap<Name, Arc<Customer>>>,
     /// The limits on callers.
@@ -178,6 +182,21 @@
 }
 
 impl Policy {
+    /// Returns the services of engines some of whose requests can yield to others and
+    /// still be in time.
+    pub fn ordered_pools(
+        routes: &HashMap<Name, Vec<Arc<Route>>>,
+        pools: &HashMap<Name, Arc<Pool>>,
+    ) -> HashSet<Name> {
+        let routes = || routes.values().flatten();
+        let targets = routes().flat_map(|route| {
+            route.targets.iter().map(|(pool, _)| (pool, route.target_ms))
+        });
+        let is_engine =
+            |pool: &&Name| pools.get(*pool).is_some_and(|pool| pool.engine.is_some());
+        pools_with_yielding_routes(targets).filter(is_engine).cloned().collect()
+    }
+
     /// Returns the route with the longest prefix of `path`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
--- a/crates/bilberry-gateway/src/pool_summary.rs
+++ b/crates/bilberry-gateway/src/pool_summary.rs
@@ -38,6 +38,8 @@
     newest: Vec<ModelVersion>,
     /// For each store address, the seed of the upstream whose sidecar follows the store.
     store_followers: BTreeMap<String, u64>,
+    /// Whether this entry uses what the sidecars observe of their engines' runs.
+    observes_runs: bool,
 }
 
 impl PoolSummary {
@@ -55,6 +57,7 @@
             newest: self.newest.clone(),
             prompt_stores: followed.map(|(address, _)| address.clone()).collect(),
             entry: host.to_string(),
+            observes_runs: self.observes_runs,
         }
     }
 }
@@ -86,7 +89,7 @@
             let models = upstreams.iter().flat_map(|peer| peer.model_names(now));
             let models: BTreeSet<Name> = models.collect();
             models.iter().for_each(|model| self.note_weights_seen(pool, model, now));
-            (pool.clone(), self.summarize(upstreams, &models, &stores, now))
+            (pool.clone(), self.summarize(pool, upstreams, &models, &stores, now))
         });
         let summaries: PoolSummaries = Arc::new(summaries.collect());
         self.pool_summaries.send_if_modified(|known| {
@@ -98,6 +101,7 @@
 
     fn summarize(
         &self,
+        pool: &Name,
         upstreams: &[Arc<Upstream>],
         models: &BTreeSet<Name>,
         stores: &[Arc<PromptStore>],
@@ -114,6 +118,7 @@
             down: upstreams.iter().filter(|peer| peer.is_down(now)).count(),
             newest: newest.collect(),
             store_followers: store_followers(upstreams, stores, now),
+            observes_runs: self.observes_runs(pool),
         }
     }
 
--- a/crates/bilberry-gateway/src/request_permit.rs
+++ b/crates/bilberry-gateway/src/request_permit.rs
@@ -52,6 +52,7 @@
         let now = self.clock.now();
         let server_status = self.dialect.server_status(status, headers);
         upstream.record_status(&server_status, now);
+        self.record_host_load(upstream, &server_status);
         let report = LimitReport::from_response(server_status.limit, sent_at, now);
         self.record_limit(upstream, report);
     }
--- a/crates/bilberry-steward/src/engine.rs
+++ b/crates/bilberry-steward/src/engine.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 
 use bilberry_core::Incarnation;
+use bilberry_core::ObservedRun;
 use bilberry_wire::ModelVersion;
 use thiserror::Error;
 
@@ -30,6 +31,17 @@
     pub incarnation: Option<Incarnation>,
     /// Whether it announces its shutdown.
     pub is_leaving: bool,
+    /// Its runs, if they were asked for.
+    pub runs: Option<Vec<ObservedRun>>,
+}
+
+/// How much of an engine's state is queried.
+#[derive(Debug, Copy, Clone, PartialEq, Eq)]
+pub enum ReportDetail {
+    /// Everything but its runs.
+    Load,
+    /// Its runs as well.
+    Runs,
 }
 
 /// How running requests are handled when an engine swaps its weights.
@@ -84,7 +96,10 @@
 /// A client of the sidecar's engine.
 pub trait Engine: Send + Sync + 'static {
     /// Queries the engine's state.
-    fn report(&self) -> impl Future<Output = Result<EngineReport, EngineError>> + Send;
+    fn report(
+        &self,
+        detail: ReportDetail,
+    ) -> impl Future<Output = Result<EngineReport, EngineError>> + Send;
 
     /// Orders the engine to load weights.
     fn load(
--- a/crates/bilberry-steward/src/engine_controller.rs
+++ b/crates/bilberry-steward/src/engine_controller.rs
@@ -23,6 +23,7 @@
 use crate::LoadOrder;
 use crate::OrderGate;
 use crate::OrderReply;
+use crate::RunInterest;
 use crate::SidecarMetrics;
 use crate::SwapMode;
 
@@ -61,6 +62,7 @@
     newest: Arc<LatestWeights>,
     cache: Arc<CacheView>,
     order_gate: Arc<OrderGate>,
+    run_interest: RunInterest,
     state: watch::Sender<EngineState>,
     /// Counters and gauges.
     pub metrics: SidecarMetrics,
@@ -137,6 +139,7 @@
             newest,
             cache,
             order_gate: Arc::default(),
+            run_interest: RunInterest::default(),
             state: watch::Sender::default(),
             metrics: SidecarMetrics::new(),
         }
@@ -147,6 +150,11 @@
         Self { order_gate, ..self }
     }
 
+    /// Queries the engine's runs only while an entry uses them.
+    pub fn with_run_interest(self, run_interest: RunInterest) -> Self {
+        Self { run_interest, ..self }
+    }
+
     /// Subscribes to the engine's state.
     pub fn state(&self) -> watch::Receiver<EngineState> {
         self.state.subscribe()
@@ -168,7 +176,8 @@
     }
 
     async fn poll(&self) -> Option<EngineReport> {
-        match timeout(ENGINE_TIMEOUT, self.engine.report()).await {
+        let report = self.engine.report(self.run_interest.detail());
+        match timeout(ENGINE_TIMEOUT, report).await {
             Ok(Ok(report)) => Some(report),
             Ok(Err(error)) => {
                 log::debug!(target: "bilberry_steward::steward", "{error}");
--- a/crates/bilberry-steward/src/feed.rs
+++ b/crates/bilberry-steward/src/feed.rs
@@ -39,6 +39,7 @@
 use crate::LimitRelay;
 use crate::PromptStores;
 use crate::QuotaOwner;
+use crate::RunInterest;
 use crate::WatchHub;
 use crate::WatchSource;
 use crate::quota_owner::EntryPresence;
@@ -82,6 +83,8 @@
     pub quotas: Arc<QuotaOwner<C>>,
     /// The request limits of servers that entries report.
     pub limits: LimitRelay,
+    /// Whether entries use what the sidecar observes of the engine's runs.
+    pub run_interest: RunInterest,
     /// The clock for load times and reports.
     pub clock: C,
 }
@@ -151,6 +154,7 @@
     let mut watches = FuturesUnordered::new();
     let mut sent_born_ms = None;
     let mut presence = EntryPresence::new(feed.quotas.clone());
+    let mut interest = feed.run_interest.connect();
     let (known_crashes, mut crashes) = feed.crashes.subscribe(feed.clock.now());
     for notice in known_crashes {
         send(&mut framed, Body::CrashNotice(notice)).await?;
@@ -257,6 +261,7 @@
                         _ => continue,
                     };
                     presence.identify(&notice.entry);
+                    interest.set(notice.observes_runs);
                     feed.newest.record_notice(&notice, feed.clock.now());
                     let wanted = parse_addresses(&notice.prompt_stores);
                     stores.retain(|store: &StoreSubscription| wanted.contains(&store.address));
--- a/crates/bilberry-steward/tests/incarnations.rs
+++ b/crates/bilberry-steward/tests/incarnations.rs
@@ -21,6 +21,7 @@
 use bilberry_steward::LatestWeights;
 use bilberry_steward::LoadOrder;
 use bilberry_steward::OrderReply;
+use bilberry_steward::ReportDetail;
 use bilberry_wire::CacheChange;
 use bilberry_wire::ModelVersion;
 use bilberry_wire::ReadingNotice;
@@ -61,7 +62,7 @@
 }
 
 impl Engine for ScriptedEngine {
-    async fn report(&self) -> Result<EngineReport, EngineError> {
+    async fn report(&self, _: ReportDetail) -> Result<EngineReport, EngineError> {
         Ok(self.answers.borrow().report.clone())
     }
 
--- a/crates/bilberry-steward/tests/loads.rs
+++ b/crates/bilberry-steward/tests/loads.rs
@@ -18,6 +18,7 @@
 use bilberry_steward::LatestWeights;
 use bilberry_steward::LoadOrder;
 use bilberry_steward::OrderReply;
+use bilberry_steward::ReportDetail;
 use bilberry_wire::ModelVersion;
 use tokio::sync::watch;
 use tokio::time::timeout;
@@ -45,7 +46,7 @@
 }
 
 impl Engine for StubEngine {
-    async fn report(&self) -> Result<EngineReport, EngineError> {
+    async fn report(&self, _: ReportDetail) -> Result<EngineReport, EngineError> {
         Ok(self.report.borrow().clone())
     }
 
--- a/crates/bilberry-wire/src/feed.rs
+++ b/crates/bilberry-wire/src/feed.rs
@@ -3,6 +3,8 @@
 use bilberry_core::Incarnation;
 use bilberry_core::UnixMs;
 
+use crate::AdmissionLoad;
+
 /// A model and the version of its weights.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct ModelVersion {
@@ -58,6 +60,26 @@
     /// Whether the sidecar keeps customers' quotas.
     #[prost(bool, tag = "13")]
     pub keeps_quotas: bool,
+    /// The work ahead at the engine, if the sidecar decides on admissions.
+    #[prost(message, optional, tag = "14")]
+    pub admission: Option<AdmissionLoad>,
+    /// How fast the engine works, if the sidecar has measured it lately.
+    #[prost(message, optional, tag = "15")]
+    pub pace: Option<EnginePace>,
+    /// Whether the engine responds to its sidecar while its runs make no progress.
+    #[prost(bool, tag = "16")]
+    pub stalled: bool,
+}
+
+/// How fast an engine works, as measured by its sidecar.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct EnginePace {
+    /// The time to prefill a prompt token, in nanoseconds; zero while unknown.
+    #[prost(uint64, tag = "1")]
+    pub prefill_token_ns: u64,
+    /// The time between two tokens of a run, in microseconds; zero while unknown.
+    #[prost(uint64, tag = "2")]
+    pub output_token_us: u64,
 }
 
 /// An entry's view of the service, sent to a sidecar.
@@ -83,6 +105,9 @@
     /// The name of the entry's host.
     #[prost(string, tag = "6")]
     pub entry: String,
+    /// Whether the entry uses what the sidecar observes of the engine's runs.
+    #[prost(bool, tag = "7")]
+    pub observes_runs: bool,
 }
 
 /// Shared prompt parts that an entry's requests prefill at an upstream.
--- a/crates/bilberry-wire/src/frame.rs
+++ b/crates/bilberry-wire/src/frame.rs
@@ -1,5 +1,8 @@
 //! The envelope of every message.
 
+use crate::AdmissionRequest;
+use crate::AdmissionResponse;
+use crate::AdmissionUpdate;
 use crate::CacheChange;
 use crate::Chunk;
 use crate::CrashNotice;
@@ -21,6 +24,8 @@
 use crate::QuotaResponse;
 use crate::ReadingNotice;
 use crate::Refused;
+use crate::RunQuery;
+use crate::RunReply;
 use crate::StateRequest;
 use crate::StateResponse;
 use crate::StatusResponse;
@@ -45,7 +50,7 @@
     #[prost(
         oneof = "Body",
         tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, \
-                                    18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 30, 31, 32, 33, 34, 35, 36, 37, 38"
+                                    18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42, 43"
     )]
     pub body: Option<Body>,
 }
@@ -158,6 +163,21 @@
     /// Reports the request limit of a server; sent in both directions.
     #[prost(message, tag = "38")]
     LimitNotice(LimitNotice),
+    /// Asks a sidecar to admit a request to its engine.
+    #[prost(message, tag = "39")]
+    AdmissionRequest(AdmissionRequest),
+    /// Returns the decision on an admission.
+    #[prost(message, tag = "40")]
+    AdmissionResponse(AdmissionResponse),
+    /// Reports the progress of an admitted or waiting request.
+    #[prost(message, tag = "41")]
+    AdmissionUpdate(AdmissionUpdate),
+    /// Asks a sidecar whether its engine still works on a request.
+    #[prost(message, tag = "42")]
+    RunQuery(RunQuery),
+    /// Returns the progress of a run.
+    #[prost(message, tag = "43")]
+    RunReply(RunReply),
 }
 
 /// Identifies the process that opened a connection.
--- a/crates/bilberry-wire/src/lib.rs
+++ b/crates/bilberry-wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! number, the sender's configuration revision and the sender's clock. The message
 //! structs use the derives of `prost` directly, so the build needs no code generator.
 
+mod admission;
 mod codec;
 mod crashes;
 mod dispatch;
@@ -12,9 +13,17 @@
 mod limit;
 mod probe;
 mod quota;
+mod run_status;
 mod shared_watch;
 mod state;
 
+pub use admission::AdmissionLoad;
+pub use admission::AdmissionOutcome;
+pub use admission::AdmissionRequest;
+pub use admission::AdmissionResponse;
+pub use admission::AdmissionStage;
+pub use admission::AdmissionUpdate;
+pub use admission::PriorityLoad;
 pub use codec::FrameCodec;
 pub use codec::MAX_FRAME_BYTES;
 pub use codec::WireError;
@@ -27,6 +36,7 @@
 pub use dispatch::Refused;
 pub use dispatch::RequestKind;
 pub use feed::CacheChange;
+pub use feed::EnginePace;
 pub use feed::EntryNotice;
 pub use feed::ModelVersion;
 pub use feed::PrefillNotice;
@@ -43,6 +53,8 @@
 pub use quota::QuotaRefund;
 pub use quota::QuotaRequest;
 pub use quota::QuotaResponse;
+pub use run_status::RunQuery;
+pub use run_status::RunReply;
 pub use shared_watch::WatchOutcome;
 pub use shared_watch::WatchRequest;
 pub use shared_watch::WatchResponse;
--- a/crates/bilberryd/src/hosted.rs
+++ b/crates/bilberryd/src/hosted.rs
@@ -44,6 +44,7 @@
 use bilberry_steward::OrderGate;
 use bilberry_steward::PromptStores;
 use bilberry_steward::QuotaOwner;
+use bilberry_steward::RunInterest;
 use bilberry_steward::WatchHub;
 use bilberry_steward::serve_feed;
 use thiserror::Error;
@@ -236,7 +237,9 @@
         newest.clone(),
         cache.clone(),
     );
-    let steward = Arc::new(steward.with_order_gate(first_order.clone()));
+    let run_interest = RunInterest::default();
+    let steward = steward.with_order_gate(first_order.clone());
+    let steward = Arc::new(steward.with_run_interest(run_interest.clone()));
     let claims = Claims::new(settings.store);
     tokio::spawn(allow_first_order(claims, clock, steward.state(), first_order));
     let unreadable = steward.metrics.unreadable.clone();
@@ -253,8 +256,18 @@
     tokio::spawn(quotas.clone().run());
     let state = steward.state();
     let limits = LimitRelay::new();
-    let feed_state =
-        Feed { state, cache, stores, newest, crashes, hub, quotas, limits, clock };
+    let feed_state = Feed {
+        state,
+        cache,
+        stores,
+        newest,
+        crashes,
+        hub,
+        quotas,
+        limits,
+        run_interest,
+        clock,
+    };
     tokio::spawn(serve_feed(feed, feed_state));
     tokio::spawn(steward.run());
     wait_for_signal().await;
