Order the requests that compete for an engine

A surge of long prompts fills an engine with prefill that nobody can order, and short requests with a shorter target wait behind it. EngineQueue decides which request is sent to the engine next: it bounds the outstanding prefill by the shortest target, keeps memory and slots, orders by priority, urgency and customers' fair shares, and rejects at once what can't be admitted in time. Nothing uses it yet.

--- /dev/null
+++ b/crates/bilberry-core/src/engine_queue/order.rs
@@ -0,0 +1,331 @@
+//! The order of the waiting requests, and which of them are admitted or rejected.
+
+use std::collections::BTreeMap;
+
+use super::EngineQueue;
+use super::waiting::Class;
+use super::waiting::Waiting;
+use crate::AdmissionTerms;
+use crate::CallId;
+use crate::UnixMs;
+
+/// The part of the shortest target for which prefill may be outstanding: one in this many.
+///
+/// A caller with the shortest target has the rest of it for its own prefill.
+const ALLOWANCE_PART: u64 = 2;
+
+/// The part of the allowance that counts as nearly nothing: one in this many.
+///
+/// A caller with a prompt longer than the allowance follows the last one without a pause
+/// of the engine.
+const NEARLY_NOTHING_PART: u64 = 8;
+
+/// The same part for a request that has waited long.
+///
+/// A caller with a long prompt is served although short ones never pause.
+const PRESSING_PART: u64 = 4;
+
+/// How many times the shortest target a target must be for its requests to yield.
+///
+/// A caller that yields has at least half of its target left for its own prefill.
+const YIELDING_FACTOR: u64 = 2;
+
+/// How many tokens go to the first in the order for each that goes to those passed over.
+///
+/// Callers of low priority, and those whose target has passed, are still served.
+const TOKENS_PER_PASSED_OVER_TOKEN: u64 = 3;
+
+/// By how much a prediction must exceed the time of a request that already waits for it to
+/// be rejected: one in this many.
+///
+/// Predictions vary a little; a caller that has waited is not sent away for that.
+const RECHECK_TOLERANCE_PART: u64 = 4;
+
+/// A waiting request in its order.
+#[derive(Debug, Copy, Clone)]
+struct Ordered {
+    id: CallId,
+    class: Class,
+}
+
+/// What goes ahead of a waiting request.
+#[derive(Debug, Copy, Clone, Default)]
+struct Ahead {
+    requests: u64,
+    prefill_tokens: u64,
+    memory_tokens: u64,
+}
+
+impl Ahead {
+    fn add(&mut self, waiting: &Waiting) {
+        self.requests += 1;
+        self.prefill_tokens += waiting.terms.prefill_tokens;
+        self.memory_tokens += waiting.terms.memory_tokens;
+    }
+}
+
+impl EngineQueue {
+    /// Admits what fits, and rejects what can't be admitted in time.
+    ///
+    /// `newcomer` is a request that has arrived just now.
+    pub(super) fn schedule(&mut self, newcomer: Option<CallId>, now: UnixMs) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        self.reject_overdue(now);
+        let mut order = self.order(now);
+        self.update_reservation(&order, now);
+        while let Some(ordered) = self.next_to_admit(&order, now) {
+            self.settle_passed_over(ordered, &order);
+            order.retain(|other| other.id != ordered.id);
+            self.admit(ordered.id, now);
+            self.update_reservation(&order, now);
+        }
+        self.reject_unreachable(&order, newcomer, now);
+    }
+
+    /// Returns the predicted wait of a waiting request.
+    pub(super) fn wait_ms(&self, id: CallId, now: UnixMs) -> u64 {
+        let waits = self.predicted_waits(&self.order(now), now);
+        let wait = waits.into_iter().find(|(other, _)| *other == id);
+        wait.map(|(_, wait_ms)| wait_ms).unwrap_or_default()
+    }
+
+    fn order(&self, now: UnixMs) -> Vec<Ordered> {
+        let outstanding = self.room.outstanding_tokens().min(self.allowance_tokens());
+        let place = |waiting: &Waiting| {
+            let tokens = outstanding + waiting.terms.prefill_tokens;
+            let first_event_at = now.plus_ms(self.pace.time_ms(tokens));
+            let class = waiting.class(first_event_at, !self.is_urgent(waiting));
+            (waiting.place(class), Ordered { id: waiting.id, class })
+        };
+        let mut order: Vec<_> = self.waiting.values().map(place).collect();
+        order.sort_unstable_by_key(|(place, _)| *place);
+        order.into_iter().map(|(_, ordered)| ordered).collect()
+    }
+
+    /// Returns the prompt tokens that may be outstanding.
+    fn allowance_tokens(&self) -> u64 {
+        let shortest_ms = self.shortest_target.get_ms().unwrap_or(u64::MAX);
+        self.pace.tokens_in(shortest_ms / ALLOWANCE_PART)
+    }
+
+    pub(super) fn is_urgent(&self, waiting: &Waiting) -> bool {
+        self.has_urgent_target(waiting.target_ms())
+    }
+
+    /// Returns whether a request with this target goes ahead of those that yield.
+    pub(super) fn has_urgent_target(&self, target_ms: u64) -> bool {
+        let shortest_ms = self.shortest_target.get_ms().unwrap_or_default();
+        target_ms < shortest_ms.saturating_mul(YIELDING_FACTOR)
+    }
+
+    /// Returns whether a request can be admitted now.
+    fn fits(&self, waiting: &Waiting, now: UnixMs) -> bool {
+        self.room.has_room(waiting.id, waiting.terms.memory_tokens)
+            && self.fits_prefill(waiting, now)
+            && !self.delays_reserved(waiting)
+    }
+
+    fn fits_prefill(&self, waiting: &Waiting, now: UnixMs) -> bool {
+        let outstanding = self.room.outstanding_tokens();
+        let allowance = self.allowance_tokens();
+        let nearly_nothing = match waiting.presses_at().has_passed_at(now) {
+            true => allowance / PRESSING_PART,
+            false => allowance / NEARLY_NOTHING_PART,
+        };
+        outstanding <= nearly_nothing
+            || outstanding + waiting.terms.prefill_tokens <= allowance
+            || (outstanding <= allowance && self.is_urgent(waiting))
+    }
+
+    /// Returns whether a request that yields would delay the prefill of the reserved one.
+    fn delays_reserved(&self, waiting: &Waiting) -> bool {
+        let reserved = self.room.reserved().filter(|id| *id != waiting.id);
+        let Some(reserved) = reserved.and_then(|id| self.waiting.get(&id)) else {
+            return false;
+        };
+        !self.is_urgent(waiting)
+            && waiting.terms.priority >= reserved.terms.priority
+            && self.room.has_room(reserved.id, reserved.terms.memory_tokens)
+    }
+
+    /// Keeps room for the next request if it lacks room and has waited a part of its time.
+    fn update_reservation(&mut self, order: &[Ordered], now: UnixMs) {
+        let Some(first) = order.first().filter(|_| self.room.reserved().is_none()) else {
+            return;
+        };
+        let passed_over = self.due_passed_over(first.class, order);
+        let next = [passed_over, Some(*first)].into_iter().flatten();
+        let next = next.filter_map(|ordered| self.waiting.get(&ordered.id));
+        let is_due = |waiting: &&Waiting| {
+            waiting.reserves_at().has_passed_at(now) && !self.fits(waiting, now)
+        };
+        let wanted = next.filter(is_due).map(|w| (w.id, w.terms.memory_tokens)).next();
+        if wanted.is_some() {
+            self.room.reserve(wanted);
+        }
+    }
+
+    /// Returns the next request that fits.
+    fn next_to_admit(&self, order: &[Ordered], now: UnixMs) -> Option<Ordered> {
+        let fits = |ordered: &Ordered| {
+            self.waiting.get(&ordered.id).is_some_and(|waiting| self.fits(waiting, now))
+        };
+        let passed_over = self.due_passed_over(order.first()?.class, order);
+        // Short prompts delay it little, so they go first until its part is exceeded.
+        let is_exceeded = passed_over.is_some_and(|oldest| {
+            self.passed_over_tokens >= self.passed_over_limit(oldest.id)
+        });
+        let urgent = order.iter().take_while(|o| !o.class.yields && !is_exceeded);
+        urgent.copied().chain(passed_over).chain(order.iter().copied()).find(fits)
+    }
+
+    /// Returns the most tokens that are saved for a request that was passed over.
+    fn passed_over_limit(&self, id: CallId) -> u64 {
+        2 * self.waiting.get(&id).map_or(0, Waiting::cost)
+    }
+
+    /// Returns the oldest request of a lower class if it may go ahead of the order.
+    fn due_passed_over(&self, class: Class, order: &[Ordered]) -> Option<Ordered> {
+        let (ordered, cost) = self.oldest_passed_over(class, order)?;
+        (cost <= self.passed_over_tokens).then_some(ordered)
+    }
+
+    /// Returns the oldest request of a lower class, and its cost.
+    fn oldest_passed_over(
+        &self,
+        class: Class,
+        order: &[Ordered],
+    ) -> Option<(Ordered, u64)> {
+        let lower = order.iter().filter(|ordered| ordered.class > class);
+        let lower = lower.filter_map(|o| Some((*o, self.waiting.get(&o.id)?)));
+        let (ordered, waiting) = lower.min_by_key(|(_, waiting)| waiting.arrival)?;
+        Some((ordered, waiting.cost()))
+    }
+
+    /// Accounts for an admission in the part that goes to those passed over.
+    fn settle_passed_over(&mut self, admitted: Ordered, order: &[Ordered]) {
+        let cost = self.waiting.get(&admitted.id).map_or(0, Waiting::cost);
+        let oldest = order.first().and_then(|o| self.oldest_passed_over(o.class, order));
+        self.passed_over_tokens = match oldest {
+            None => 0,
+            Some((oldest, _)) if admitted.class >= oldest.class => {
+                self.passed_over_tokens.saturating_sub(cost)
+            }
+            Some((oldest, _)) => {
+                let added = cost / TOKENS_PER_PASSED_OVER_TOKEN;
+                let limit = self.passed_over_limit(oldest.id);
+                (self.passed_over_tokens + added).min(limit)
+            }
+        };
+    }
+
+    fn reject_overdue(&mut self, now: UnixMs) {
+        let overdue = self.waiting.values().filter(|w| w.terms.start_by < now);
+        let ids: Vec<CallId> = overdue.map(|waiting| waiting.id).collect();
+        for id in ids {
+            self.reject(id, self.predicted_drain_ms(), now);
+        }
+    }
+
+    /// Rejects the requests that can't be admitted in time.
+    fn reject_unreachable(
+        &mut self,
+        order: &[Ordered],
+        newcomer: Option<CallId>,
+        now: UnixMs,
+    ) {
+        // A rejection shortens the waits behind it, so they are predicted again.
+        let mut order = order.to_vec();
+        while let Some((index, wait_ms)) = self.first_unreachable(&order, newcomer, now) {
+            self.reject(order.remove(index).id, wait_ms, now);
+        }
+    }
+
+    fn first_unreachable(
+        &self,
+        order: &[Ordered],
+        newcomer: Option<CallId>,
+        now: UnixMs,
+    ) -> Option<(usize, u64)> {
+        let waits = self.predicted_waits(order, now);
+        let is_unreachable = |(id, wait_ms): &(CallId, u64)| {
+            let Some(waiting) = self.waiting.get(id) else { return false };
+            let left_ms = waiting.terms.start_by.ms_since(now);
+            let tolerance_ms = match newcomer == Some(*id) {
+                true => 0,
+                false => wait_ms / RECHECK_TOLERANCE_PART,
+            };
+            left_ms == 0 || wait_ms - tolerance_ms > left_ms
+        };
+        let index = waits.iter().position(is_unreachable)?;
+        Some((index, waits[index].1))
+    }
+
+    /// Returns the predicted wait of each request, in order.
+    fn predicted_waits(&self, order: &[Ordered], now: UnixMs) -> Vec<(CallId, u64)> {
+        let Some(first) = order.first() else { return Vec::new() };
+        let passed_over_waits = self.passed_over_waits(first.class, order);
+        let mut ahead = Ahead::default();
+        let mut urgent_ahead = Ahead::default();
+        let mut waits = Vec::with_capacity(order.len());
+        for ordered in order {
+            let Some(waiting) = self.waiting.get(&ordered.id) else { continue };
+            let is_urgent = self.is_urgent(waiting);
+            let in_order = if is_urgent { urgent_ahead } else { ahead };
+            let mut wait_ms = self.predicted_wait_ms(waiting, in_order, is_urgent);
+            if !is_urgent && !waiting.has_ticket {
+                let returning = self.tickets.expected_tokens(now, now.plus_ms(wait_ms));
+                wait_ms += self.pace.yielding_time_ms(returning);
+            }
+            let passed_over_ms = passed_over_waits.get(&ordered.id).copied();
+            waits.push((ordered.id, wait_ms.min(passed_over_ms.unwrap_or(u64::MAX))));
+            ahead.add(waiting);
+            if is_urgent {
+                urgent_ahead.add(waiting);
+            }
+        }
+        waits
+    }
+
+    fn predicted_wait_ms(&self, waiting: &Waiting, ahead: Ahead, is_urgent: bool) -> u64 {
+        let AdmissionTerms { prefill_tokens, memory_tokens, .. } = waiting.terms;
+        let allowance = self.allowance_tokens();
+        let may_remain = match is_urgent {
+            true => allowance,
+            false => allowance.saturating_sub(prefill_tokens),
+        };
+        let tokens = self.room.outstanding_tokens() + ahead.prefill_tokens;
+        let tokens = tokens.saturating_sub(may_remain);
+        let prefill_ms = match is_urgent {
+            true => self.pace.time_ms(tokens),
+            false => self.pace.yielding_time_ms(tokens),
+        };
+        let memory_tokens = ahead.memory_tokens + memory_tokens;
+        let room_ms = self.room.predicted_wait_ms(ahead.requests + 1, memory_tokens);
+        prefill_ms.max(room_ms)
+    }
+
+    /// Returns the predicted waits of the requests of lower classes, given the part of the
+    /// admissions that goes to them.
+    fn passed_over_waits(
+        &self,
+        first: Class,
+        order: &[Ordered],
+    ) -> BTreeMap<CallId, u64> {
+        let lower = order.iter().filter(|ordered| ordered.class > first);
+        let mut lower: Vec<&Waiting> =
+            lower.filter_map(|ordered| self.waiting.get(&ordered.id)).collect();
+        lower.sort_unstable_by_key(|waiting| waiting.arrival);
+        let mut ahead = Ahead::default();
+        let mut waits = BTreeMap::new();
+        for waiting in lower {
+            let share = TOKENS_PER_PASSED_OVER_TOKEN + 1;
+            let wait_ms = self.predicted_wait_ms(waiting, ahead, false);
+            waits.insert(waiting.id, wait_ms.saturating_mul(share));
+            ahead.add(waiting);
+        }
+        waits
+    }
+}
