Decide on admissions in the sidecar, for all entries of an engine

Entries could not order the requests of other entries at an engine. The sidecar now answers admission requests of its entries from one EngineQueue: a queued request gets a second response when it is admitted or can't be any more, the end of a connection ends all its requests, and a new incarnation of the engine begins empty. The work ahead is part of the state that is sent anyway. Entries that don't ask are served as before. Metrics for the decisions, the queue and the measured prefill time; one log line each when rejections begin and end.

--- a/crates/bilberry-core/src/engine_queue.rs
+++ b/crates/bilberry-core/src/engine_queue.rs
@@ -125,9 +125,7 @@
     /// Ends a request that was admitted or waits.
     pub fn end(&mut self, id: CallId, now: UnixMs) {
         self.decided.retain(|(other, _)| *other != id);
-        if let Some(waiting) = self.remove_waiting(id) {
-            self.shares.refund(&waiting.terms.customer, waiting.cost());
-        }
+        self.remove_unserved(id);
         if self.room.end(id, now) == Some(false) {
             self.pace.interrupt(self.room.outstanding_tokens() == 0, now);
         }
@@ -204,8 +202,8 @@
 
     /// Forgets the admitted requests and rejects the waiting ones, as the engine was
     /// started again.
-    pub fn reset(&mut self, now: UnixMs) {
-        self.reject_waiting(now);
+    pub fn reset(&mut self) {
+        self.reject_waiting();
         let slots = self.room.capacity.slots;
         self.room = EngineRoom::default();
         self.room.capacity.slots = slots;
@@ -214,9 +212,11 @@
     }
 
     /// Rejects all waiting requests, as the engine can't serve them.
-    pub fn reject_waiting(&mut self, now: UnixMs) {
+    pub fn reject_waiting(&mut self) {
+        let rejected = Admission::Rejected { retry_after_ms: MIN_RETRY_AFTER_MS };
         while let Some((&id, _)) = self.waiting.first_key_value() {
-            self.reject(id, MIN_RETRY_AFTER_MS, now);
+            self.remove_unserved(id);
+            self.decided.push((id, rejected));
         }
     }
 
@@ -231,11 +231,14 @@
         self.waiting.insert(id, waiting);
     }
 
-    fn remove_waiting(&mut self, id: CallId) -> Option<Waiting> {
+    /// Removes a waiting request and takes back its charge.
+    fn remove_unserved(&mut self, id: CallId) -> Option<Waiting> {
         if self.room.reserved() == Some(id) {
             self.room.reserve(None);
         }
-        self.waiting.remove(&id)
+        let waiting = self.waiting.remove(&id)?;
+        self.shares.refund(&waiting.terms.customer, waiting.cost());
+        Some(waiting)
     }
 
     fn admit(&mut self, id: CallId, now: UnixMs) {
@@ -251,8 +254,7 @@
     }
 
     fn reject(&mut self, id: CallId, retry_after_ms: u64, now: UnixMs) {
-        let Some(waiting) = self.remove_waiting(id) else { return };
-        self.shares.refund(&waiting.terms.customer, waiting.cost());
+        let Some(waiting) = self.remove_unserved(id) else { return };
         let is_urgent = self.is_urgent(&waiting);
         let rejected = self.issue_ticket(&waiting.terms, is_urgent, retry_after_ms, now);
         self.decided.push((id, rejected));
--- a/crates/bilberry-steward/src/feed.rs
+++ b/crates/bilberry-steward/src/feed.rs
@@ -30,6 +30,7 @@
 use tokio::time::sleep_until;
 use tokio_util::codec::Framed;
 
+use crate::AdmissionControl;
 use crate::CacheView;
 use crate::CrashRelay;
 use crate::Engine;
@@ -81,6 +82,8 @@
     pub hub: Arc<WatchHub<S, C>>,
     /// The customer quotas kept for all entries.
     pub quotas: Arc<QuotaOwner<C>>,
+    /// The admissions of requests to the engine.
+    pub admissions: Arc<AdmissionControl<C>>,
     /// The request limits of servers that entries report.
     pub limits: LimitRelay,
     /// Whether entries use what the sidecar observes of the engine's runs.
@@ -155,6 +158,7 @@
     let mut sent_born_ms = None;
     let mut presence = EntryPresence::new(feed.quotas.clone());
     let mut interest = feed.run_interest.connect();
+    let mut admissions = feed.admissions.connect();
     let (known_crashes, mut crashes) = feed.crashes.subscribe(feed.clock.now());
     for notice in known_crashes {
         send(&mut framed, Body::CrashNotice(notice)).await?;
@@ -169,6 +173,7 @@
         let upstream = UpstreamState {
             entries: connection.total(),
             keeps_quotas: true,
+            admission: Some(feed.admissions.load()),
             loads_in_ms: sent.loads_at.map(|at| at.ms_since(now)),
             ..sent.upstream.clone()
         };
@@ -225,6 +230,10 @@
                         send(&mut framed, Body::LimitNotice(notice)).await?;
                     }
                 }
+                Some((call, response)) = admissions.next_response() => {
+                    let body = Some(Body::AdmissionResponse(response));
+                    framed.send(Frame { call, body, ..Frame::default() }).await?;
+                }
                 Some(answer) = watches.next(), if !watches.is_empty() => {
                     framed.send(answer).await?;
                 }
@@ -250,6 +259,16 @@
                             framed.send(Frame { call, body, ..Frame::default() }).await?;
                             continue;
                         }
+                        Some(Body::AdmissionRequest(request)) => {
+                            let response = admissions.request(call, &request);
+                            let body = Some(Body::AdmissionResponse(response));
+                            framed.send(Frame { call, body, ..Frame::default() }).await?;
+                            continue;
+                        }
+                        Some(Body::AdmissionUpdate(update)) => {
+                            admissions.update(call, update);
+                            continue;
+                        }
                         Some(Body::LimitNotice(notice)) => {
                             feed.limits.merge(&notice, feed.clock.now());
                             continue;
--- a/crates/bilberry-steward/src/lib.rs
+++ b/crates/bilberry-steward/src/lib.rs
@@ -4,6 +4,7 @@
 //! the engine to load the newest weights. While it runs, it is the only process that
 //! sends orders to the engine, so orders cannot race.
 
+mod admission;
 mod cache;
 mod crash_relay;
 mod engine;
@@ -18,6 +19,7 @@
 mod run_interest;
 mod watch_hub;
 
+pub use admission::AdmissionControl;
 pub use cache::CacheEvents;
 pub use cache::CacheListing;
 pub use cache::CacheView;
@@ -36,6 +38,8 @@
 pub use feed::serve_feed;
 pub use latest_weights::LatestWeights;
 pub use limit_relay::LimitRelay;
+pub use metrics::AdmissionLabel;
+pub use metrics::AdmissionMetrics;
 pub use metrics::SidecarMetrics;
 pub use order_gate::OrderGate;
 pub use prompt_stores::FollowedStore;
--- a/crates/bilberry-steward/src/metrics.rs
+++ b/crates/bilberry-steward/src/metrics.rs
@@ -22,6 +22,45 @@
     pub outcome: &'static str,
 }
 
+/// The label of the admission counter.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AdmissionLabel {
+    /// The outcome of the decision.
+    pub outcome: &'static str,
+}
+
+/// The metrics of admissions to an engine.
+#[derive(Debug, Clone, Default)]
+pub struct AdmissionMetrics {
+    /// Decisions on requests, by outcome; a queued request is counted for both decisions.
+    pub decisions: Family<AdmissionLabel, Counter>,
+    /// Requests that wait for their admission.
+    pub waiting: Gauge,
+    /// Prompt tokens of admitted requests that are not prefilled yet.
+    pub outstanding_tokens: Gauge,
+    /// The measured time to prefill a prompt token, in nanoseconds.
+    pub prefill_token_ns: Gauge,
+}
+
+impl AdmissionMetrics {
+    /// Counts a decision by its outcome.
+    pub fn count(&self, outcome: &'static str) {
+        self.decisions.get_or_create(&AdmissionLabel { outcome }).inc();
+    }
+
+    fn register(&self, registry: &mut Registry) {
+        let decisions = self.decisions.clone();
+        registry.register("admissions", "Decisions on admissions", decisions);
+        let waiting = self.waiting.clone();
+        registry.register("admissions_waiting", "Requests that wait for one", waiting);
+        let outstanding = self.outstanding_tokens.clone();
+        let help = "Prompt tokens admitted and not prefilled";
+        registry.register("outstanding_prefill_tokens", help, outstanding);
+        let pace = self.prefill_token_ns.clone();
+        registry.register("prefill_token_ns", "Time to prefill a token, in ns", pace);
+    }
+}
+
 /// All metrics of a sidecar.
 #[derive(Debug)]
 pub struct SidecarMetrics {
@@ -42,6 +81,8 @@
     pub queued: Gauge,
     /// The engine's memory that cannot be freed at present, in tokens.
     pub used_tokens: Gauge,
+    /// Admissions of requests to the engine.
+    pub admissions: AdmissionMetrics,
     /// Objects of the platform's store that could not be interpreted.
     pub unreadable: UnreadableObjects,
     /// Changes of the platform store's era, which follow a restore from an older copy.
@@ -61,6 +102,7 @@
             running: Gauge::default(),
             queued: Gauge::default(),
             used_tokens: Gauge::default(),
+            admissions: AdmissionMetrics::default(),
             unreadable: UnreadableObjects::default(),
             era_changes: EraChanges::default(),
         };
@@ -83,6 +125,7 @@
         registry.register("queued", "Requests that wait", self.queued.clone());
         let used = self.used_tokens.clone();
         registry.register("used_tokens", "Tokens of memory in use", used);
+        self.admissions.register(&mut registry);
         self.unreadable.register(&mut registry);
         self.era_changes.register(&mut registry);
     }
--- a/crates/bilberryd/src/hosted.rs
+++ b/crates/bilberryd/src/hosted.rs
@@ -35,6 +35,7 @@
 use bilberry_node::HttpLimits;
 use bilberry_node::StartError;
 use bilberry_node::bind;
+use bilberry_steward::AdmissionControl;
 use bilberry_steward::CacheView;
 use bilberry_steward::CrashRelay;
 use bilberry_steward::EngineController;
@@ -255,6 +256,9 @@
     let quotas = Arc::new(QuotaOwner::new(clock));
     tokio::spawn(quotas.clone().run());
     let state = steward.state();
+    let metrics = steward.metrics.admissions.clone();
+    let admissions = Arc::new(AdmissionControl::new(steward.state(), clock, metrics));
+    tokio::spawn(admissions.clone().run());
     let limits = LimitRelay::new();
     let feed_state = Feed {
         state,
@@ -264,6 +268,7 @@
         crashes,
         hub,
         quotas,
+        admissions,
         limits,
         run_interest,
         clock,
