Predict the waits of an engine's queue in one pass

Each prediction summed all tickets, and each rejection predicted all waits again. Sums and waits are now computed once a decision. Token counts that a request states are bounded, and a quiet time no longer lifts the bound on outstanding prefill while requests wait.

--- a/crates/bilberry-core/src/engine_queue.rs
+++ b/crates/bilberry-core/src/engine_queue.rs
@@ -33,6 +33,11 @@
 /// Each request takes a slot of the engine from others, also with a cached prompt.
 const MIN_COST_TOKENS: u64 = 64;
 
+/// The largest number of tokens that a request can state.
+///
+/// A caller with a wrong number must not disturb the sums for all others.
+const MAX_TOKENS: u64 = 1 << 32;
+
 /// The largest number of waiting requests.
 ///
 /// Callers behind more of them would wait longer than any answer is of use.
@@ -91,7 +96,7 @@
     pub fn request(
         &mut self,
         id: CallId,
-        terms: AdmissionTerms,
+        mut terms: AdmissionTerms,
         now: UnixMs,
     ) -> Admission {
         if self.room.contains(id) || self.waiting.contains_key(&id) {
@@ -100,6 +105,8 @@
         if self.room.is_too_large(terms.memory_tokens) {
             return Admission::Rejected { retry_after_ms: MIN_RETRY_AFTER_MS };
         }
+        terms.prefill_tokens = terms.prefill_tokens.min(MAX_TOKENS);
+        terms.memory_tokens = terms.memory_tokens.min(MAX_TOKENS);
         self.shortest_target.record(terms.target_at.ms_since(now), now);
         self.tickets.expire(now);
         if self.waiting.len() >= MAX_WAITING && !self.displace_for(&terms, now) {
--- a/crates/bilberry-core/src/engine_queue/order.rs
+++ b/crates/bilberry-core/src/engine_queue/order.rs
@@ -86,9 +86,14 @@
 
     /// Returns the predicted wait of a waiting request.
     pub(super) fn wait_ms(&self, id: CallId, now: UnixMs) -> u64 {
-        let waits = self.predicted_waits(&self.order(now), now);
-        let wait = waits.into_iter().find(|(other, _)| *other == id);
-        wait.map(|(_, wait_ms)| wait_ms).unwrap_or_default()
+        let mut found_ms = 0;
+        self.predict_waits(&self.order(now), now, |waiting, wait_ms| {
+            if waiting.id == id {
+                found_ms = wait_ms;
+            }
+            true
+        });
+        found_ms
     }
 
     fn order(&self, now: UnixMs) -> Vec<Ordered> {
@@ -106,8 +111,12 @@
 
     /// Returns the prompt tokens that may be outstanding.
     fn allowance_tokens(&self) -> u64 {
-        let shortest_ms = self.shortest_target.get_ms().unwrap_or(u64::MAX);
-        self.pace.tokens_in(shortest_ms / ALLOWANCE_PART)
+        self.pace.tokens_in(self.shortest_target_ms() / ALLOWANCE_PART)
+    }
+
+    fn shortest_target_ms(&self) -> u64 {
+        let waiting_ms = || self.waiting.values().map(Waiting::target_ms).min();
+        self.shortest_target.get_ms().or_else(waiting_ms).unwrap_or(u64::MAX)
     }
 
     pub(super) fn is_urgent(&self, waiting: &Waiting) -> bool {
@@ -116,8 +125,7 @@
 
     /// Returns whether a request with this target goes ahead of those that yield.
     pub(super) fn has_urgent_target(&self, target_ms: u64) -> bool {
-        let shortest_ms = self.shortest_target.get_ms().unwrap_or_default();
-        target_ms < shortest_ms.saturating_mul(YIELDING_FACTOR)
+        target_ms < self.shortest_target_ms().saturating_mul(YIELDING_FACTOR)
     }
 
     /// Returns whether a request can be admitted now.
@@ -236,57 +244,58 @@
         newcomer: Option<CallId>,
         now: UnixMs,
     ) {
-        // A rejection shortens the waits behind it, so they are predicted again.
-        let mut order = order.to_vec();
-        while let Some((index, wait_ms)) = self.first_unreachable(&order, newcomer, now) {
-            self.reject(order.remove(index).id, wait_ms, now);
-        }
-    }
-
-    fn first_unreachable(
-        &self,
-        order: &[Ordered],
-        newcomer: Option<CallId>,
-        now: UnixMs,
-    ) -> Option<(usize, u64)> {
-        let waits = self.predicted_waits(order, now);
-        let is_unreachable = |(id, wait_ms): &(CallId, u64)| {
-            let Some(waiting) = self.waiting.get(id) else { return false };
+        let mut unreachable = Vec::new();
+        self.predict_waits(order, now, |waiting, wait_ms| {
             let left_ms = waiting.terms.start_by.ms_since(now);
-            let tolerance_ms = match newcomer == Some(*id) {
+            let tolerance_ms = match newcomer == Some(waiting.id) {
                 true => 0,
                 false => wait_ms / RECHECK_TOLERANCE_PART,
             };
-            left_ms == 0 || wait_ms - tolerance_ms > left_ms
-        };
-        let index = waits.iter().position(is_unreachable)?;
-        Some((index, waits[index].1))
+            let is_reachable = left_ms > 0 && wait_ms - tolerance_ms <= left_ms;
+            if !is_reachable {
+                unreachable.push((waiting.id, wait_ms));
+            }
+            is_reachable
+        });
+        for (id, wait_ms) in unreachable {
+            self.reject(id, wait_ms, now);
+        }
     }
 
-    /// Returns the predicted wait of each request, in order.
-    fn predicted_waits(&self, order: &[Ordered], now: UnixMs) -> Vec<(CallId, u64)> {
-        let Some(first) = order.first() else { return Vec::new() };
+    /// Predicts the wait of each request, in order.
+    ///
+    /// `stays` gets each prediction and returns whether the request stays ahead of those
+    /// behind it.
+    fn predict_waits(
+        &self,
+        order: &[Ordered],
+        now: UnixMs,
+        mut stays: impl FnMut(&Waiting, u64) -> bool,
+    ) {
+        let Some(first) = order.first() else { return };
         let passed_over_waits = self.passed_over_waits(first.class, order);
+        let returning = self.tickets.expected(now);
         let mut ahead = Ahead::default();
         let mut urgent_ahead = Ahead::default();
-        let mut waits = Vec::with_capacity(order.len());
         for ordered in order {
             let Some(waiting) = self.waiting.get(&ordered.id) else { continue };
             let is_urgent = self.is_urgent(waiting);
             let in_order = if is_urgent { urgent_ahead } else { ahead };
             let mut wait_ms = self.predicted_wait_ms(waiting, in_order, is_urgent);
             if !is_urgent && !waiting.has_ticket {
-                let returning = self.tickets.expected_tokens(now, now.plus_ms(wait_ms));
-                wait_ms += self.pace.yielding_time_ms(returning);
+                let tokens = returning.tokens_until(now.plus_ms(wait_ms));
+                wait_ms += self.pace.yielding_time_ms(tokens);
             }
             let passed_over_ms = passed_over_waits.get(&ordered.id).copied();
-            waits.push((ordered.id, wait_ms.min(passed_over_ms.unwrap_or(u64::MAX))));
+            let wait_ms = wait_ms.min(passed_over_ms.unwrap_or(u64::MAX));
+            if !stays(waiting, wait_ms) {
+                continue;
+            }
             ahead.add(waiting);
             if is_urgent {
                 urgent_ahead.add(waiting);
             }
         }
-        waits
     }
 
     fn predicted_wait_ms(&self, waiting: &Waiting, ahead: Ahead, is_urgent: bool) -> u64 {
--- a/crates/bilberry-core/src/engine_queue/tickets.rs
+++ b/crates/bilberry-core/src/engine_queue/tickets.rs
@@ -15,7 +15,7 @@
 ///
 /// A surge of callers that never return must not take the sidecar's memory, which callers
 /// of all entries need.
-const MAX_TICKETS: usize = 4_096;
+const MAX_TICKETS: usize = 1_024;
 
 /// The weight of one caller in the estimate of how many return.
 ///
@@ -109,13 +109,19 @@
         is_valid
     }
 
-    /// Returns the prompt tokens of the callers that are expected to return until `until`.
-    pub(super) fn expected_tokens(&self, now: UnixMs, until: UnixMs) -> u64 {
+    /// Returns the callers that are expected to return.
+    pub(super) fn expected(&self, now: UnixMs) -> ExpectedReturns {
         let is_valid = |at: UnixMs| !at.plus_ms(GRACE_MS).has_passed_at(now);
-        let is_due = |at: UnixMs| at <= until && is_valid(at);
-        let due = self.by_key.values().filter(|ticket| is_due(ticket.return_at));
-        let tokens: u64 = due.map(|ticket| ticket.prefill_tokens).sum();
-        (tokens as f64 * self.return_ratio) as u64
+        let valid = self.by_key.values().filter(|ticket| is_valid(ticket.return_at));
+        let mut tokens_until: Vec<(UnixMs, u64)> =
+            valid.map(|ticket| (ticket.return_at, ticket.prefill_tokens)).collect();
+        tokens_until.sort_unstable();
+        let mut sum_tokens = 0;
+        for (_, tokens) in &mut tokens_until {
+            sum_tokens += *tokens;
+            *tokens = sum_tokens;
+        }
+        ExpectedReturns { tokens_until, return_ratio: self.return_ratio }
     }
 
     fn drop_oldest(&mut self) {
@@ -134,3 +140,20 @@
         self.by_key.len()
     }
 }
+
+/// The prompt tokens of the callers that are expected to return, by time.
+#[derive(Debug)]
+pub(super) struct ExpectedReturns {
+    /// The sums of the tokens up to each return.
+    tokens_until: Vec<(UnixMs, u64)>,
+    return_ratio: f64,
+}
+
+impl ExpectedReturns {
+    /// Returns the prompt tokens of those that are expected to return until then.
+    pub(super) fn tokens_until(&self, until: UnixMs) -> u64 {
+        let count = self.tokens_until.partition_point(|(at, _)| *at <= until);
+        let last = count.checked_sub(1).and_then(|index| self.tokens_until.get(index));
+        last.map_or(0, |(_, tokens)| (*tokens as f64 * self.return_ratio) as u64)
+    }
+}
