Ask an engine's sidecar to admit requests of services with competing routes

A surge of long prompts filled slots and memory of the engines, and requests with a shorter target stood behind them where no entry could order them. For such services an entry now asks the sidecar of the chosen engine, waits in its queue, and reports the prefill and the end of the request. Where the sidecar does not decide on admissions, requests are placed as before.

--- a/crates/bilberry-gateway/src/backup.rs
+++ b/crates/bilberry-gateway/src/backup.rs
@@ -139,7 +139,7 @@
             context.add_detail(obstacle);
             return None;
         }
-        if !self.acquire_permit(context, &backup).await {
+        if !self.acquire_permit(context, &backup, false).await {
             return None;
         }
         let changed = self.upstreams.changed.clone();
--- a/crates/bilberry-gateway/src/dispatch.rs
+++ b/crates/bilberry-gateway/src/dispatch.rs
@@ -129,6 +129,23 @@
         PromptSupply { source, tokens: tokens.max(own_tokens) }
     }
 
+    /// Returns how many shared tokens an upstream holds or may fetch.
+    ///
+    /// Unlike `prompt_supply`, this reserves no transfer.
+    pub(crate) fn available_tokens(
+        &self,
+        context: &mut RequestContext,
+        weights: u64,
+    ) -> u64 {
+        let now = self.clock.now();
+        let keys = context.keys(weights);
+        let peers = self.upstreams.of(&context.pool.name);
+        let held = peers.iter().map(|peer| keys.cached_tokens(peer, now)).max();
+        let store = self.stores.home(context.affinity());
+        let stored = store.map_or(0, |store| keys.stored_tokens(&store.contents, now));
+        held.unwrap_or_default().max(stored)
+    }
+
     /// Records that the response has started, which means that the prefill is done.
     pub(crate) fn record_prompt_read(
         &self,
--- a/crates/bilberry-gateway/src/feeds.rs
+++ b/crates/bilberry-gateway/src/feeds.rs
@@ -9,6 +9,10 @@
 
 use bilberry_core::Clock;
 use bilberry_core::Name;
+use bilberry_wire::AdmissionOutcome;
+use bilberry_wire::AdmissionResponse;
+use bilberry_wire::AdmissionStage;
+use bilberry_wire::AdmissionUpdate;
 use bilberry_wire::Body;
 use bilberry_wire::Frame;
 use bilberry_wire::FrameCodec;
@@ -33,6 +37,8 @@
 use crate::Gateway;
 use crate::Policy;
 use crate::Upstream;
+use crate::admission::AdmissionMessage;
+use crate::admission::AdmissionQueue;
 use crate::connections::set_tcp_options;
 use crate::hubs::HubQuestion;
 use crate::hubs::QUESTION_QUEUE_CAPACITY;
@@ -162,6 +168,8 @@
     let mut pending = PendingQuestions::default();
     let (charges, mut queued_charges) = mpsc::channel(QUOTA_QUEUE_CAPACITY);
     let mut pending_charges = PendingCharges::default();
+    let (admissions, mut queued_admissions) = AdmissionQueue::new();
+    let mut pending_admissions = PendingAdmissions::default();
     let mut quota_registration = None;
     let mut registration = None;
     let mut last_notice = None;
@@ -182,6 +190,7 @@
                 return Ok(());
             }
             upstream.set_sidecar_queue(queue.clone());
+            upstream.set_admission_queue(admissions.clone());
             summaries.mark_changed();
         }
         if summaries.has_changed().unwrap_or(false) {
@@ -217,6 +226,10 @@
                 framed.send(pending_charges.register(question)).await?;
                 continue;
             }
+            Some(message) = queued_admissions.recv() => {
+                framed.send(pending_admissions.register(message)).await?;
+                continue;
+            }
         };
         deadline = Instant::now() + IDLE_TIMEOUT;
         let Some(frame) = frame else { return Ok(()) };
@@ -251,6 +264,13 @@
                 }
                 None
             }
+            Some(Body::AdmissionResponse(response)) => {
+                if let Some(ended) = pending_admissions.resolve(call, response) {
+                    let body = Some(Body::AdmissionUpdate(ended));
+                    framed.send(Frame { call, body, ..Frame::default() }).await?;
+                }
+                None
+            }
             _ => None,
         };
         if let Some(state) = state {
@@ -332,6 +352,53 @@
     }
 }
 
+/// The requests that wait for the decision of a sidecar on their admission, by call id.
+#[derive(Debug, Default)]
+struct PendingAdmissions {
+    responses: HashMap<u64, mpsc::Sender<AdmissionResponse>>,
+}
+
+impl PendingAdmissions {
+    /// Registers a message and returns the frame that sends it.
+    fn register(&mut self, message: AdmissionMessage) -> Frame {
+        let (call, body) = match message {
+            AdmissionMessage::Request { call, request, responses, space } => {
+                drop(space);
+                self.responses.insert(call, responses);
+                (call, Body::AdmissionRequest(request))
+            }
+            AdmissionMessage::Update { call, stage } => {
+                if stage == AdmissionStage::Ended {
+                    self.responses.remove(&call);
+                }
+                let stage = stage.into();
+                (call, Body::AdmissionUpdate(AdmissionUpdate { stage }))
+            }
+        };
+        Frame { call, body: Some(body), ..Frame::default() }
+    }
+
+    /// Passes a response to the request that waits for it.
+    ///
+    /// Returns the end of an admission whose request no longer waits.
+    fn resolve(
+        &mut self,
+        call: u64,
+        response: AdmissionResponse,
+    ) -> Option<AdmissionUpdate> {
+        let outcome = response.outcome();
+        let is_delivered = match self.responses.get(&call) {
+            Some(responses) => responses.try_send(response).is_ok(),
+            None => false,
+        };
+        if outcome != AdmissionOutcome::Queued {
+            self.responses.remove(&call);
+        }
+        let is_late = outcome == AdmissionOutcome::Admitted && !is_delivered;
+        is_late.then(|| AdmissionUpdate { stage: AdmissionStage::Ended.into() })
+    }
+}
+
 /// Reports whether two values of an upstream have the same incarnation, which means that
 /// it was briefly unlisted and then listed again.
 ///
--- a/crates/bilberry-gateway/src/lib.rs
+++ b/crates/bilberry-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! a request, whether the request waits for capacity, and whether it is retried or
 //! refused. An implementation of [`Dialect`] translates the headers of the platform.
 
+mod admission;
 mod backup;
 mod body_relay;
 mod call;
@@ -43,6 +44,7 @@
 mod upstreams;
 mod weights;
 
+pub use admission::AdmissionGuard;
 pub use call::Dialect;
 pub use call::Dispatch;
 pub use call::InvalidHeader;
--- a/crates/bilberry-gateway/src/metrics.rs
+++ b/crates/bilberry-gateway/src/metrics.rs
@@ -35,6 +35,10 @@
     pub quota_units: Family<OutcomeLabel, Counter>,
     /// Requests charged to the limits of upstreams, by decision.
     pub permits: Family<OutcomeLabel, Counter>,
+    /// Requests for admission to engines, by outcome.
+    pub admissions: Family<OutcomeLabel, Counter>,
+    /// Time that requests were queued by the sidecars of engines.
+    pub admission_wait_seconds: Histogram,
     /// Runs that were in progress at an upstream when it crashed.
     pub crashed_runs: Counter,
     /// Requests put in quarantine because they crash servers.
@@ -77,6 +81,8 @@
             sends: Family::default(),
             quota_units: Family::default(),
             permits: Family::default(),
+            admissions: Family::default(),
+            admission_wait_seconds: histogram(),
             crashed_runs: Counter::default(),
             quarantines: Counter::default(),
             first_byte_seconds: histogram(),
@@ -107,6 +113,11 @@
         registry.register("quota_units", help, self.quota_units.clone());
         let help = "Requests charged to the limits of upstreams by decision";
         registry.register("permits", help, self.permits.clone());
+        let help = "Requests for admission to engines by outcome";
+        registry.register("admissions", help, self.admissions.clone());
+        let wait = self.admission_wait_seconds.clone();
+        let help = "Time queued by the sidecars of engines";
+        registry.register("admission_wait_seconds", help, wait);
         let help = "Requests put in quarantine";
         registry.register("quarantines", help, self.quarantines.clone());
         let first = self.first_byte_seconds.clone();
@@ -157,6 +168,11 @@
         self.permits.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts the outcome of a request for admission to an engine.
+    pub fn count_admission(&self, outcome: &'static str) {
+        self.admissions.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts the outcome of an order to an engine without a sidecar.
     pub fn count_order(&self, outcome: &'static str) {
         self.orders.get_or_create(&OutcomeLabel { outcome }).inc();
--- a/crates/bilberry-gateway/src/placement.rs
+++ b/crates/bilberry-gateway/src/placement.rs
@@ -18,6 +18,9 @@
 use crate::RequestContext;
 use crate::Reservation;
 use crate::Upstream;
+use crate::admission::AdmissionAttempts;
+use crate::admission::AdmissionGuard;
+use crate::admission::AdmissionResult;
 
 /// The longest sleep of a waiting request between two placement attempts.
 ///
@@ -47,17 +50,47 @@
         let limited_wait_ms = context.route.target_ms * LIMITED_WAIT_TARGETS;
         let limited_until = began.plus_ms(max_wait_ms.min(limited_wait_ms));
         let waiting = self.waiting.enter(&context.pool.name);
+        let mut attempts = AdmissionAttempts::default();
+        context.admission_retry_ms = None;
         let reservation = loop {
             // Created before the check, so that no change in between is missed.
             let changed = self.upstreams.changed.notified();
             let checked_at = self.clock.now();
             let mut retry_ms = PLACEMENT_RETRY_MS;
             let mut waits_for_parts = false;
-            if let Some(choice) = self.choose(context) {
+            let choice = self.choose(context, &attempts);
+            // The sidecars reject a request at once, so that its caller can return.
+            let is_rejected =
+                attempts.is_rejected() && (choice.is_none() || attempts.is_exhausted());
+            if is_rejected {
+                context.admission_retry_ms = attempts.retry_after_ms;
+                break Err(Refusal::NoCapacity);
+            }
+            if let Some(choice) = choice {
                 let Some(wait_until) = self.prefill_wait_deadline(context, &choice)
                 else {
-                    if self.acquire_permit(context, &choice.upstream).await {
-                        break Ok(self.take_seat(context, choice));
+                    let result = match choice.asks_admission {
+                        true => self.request_admission(context, &choice, until).await,
+                        false => AdmissionResult::Unneeded,
+                    };
+                    let admission = match result {
+                        AdmissionResult::Unneeded => None,
+                        AdmissionResult::Admitted(guard) => Some(guard),
+                        other => {
+                            attempts.record(&choice.upstream, &other);
+                            if let Err(refusal) = self.check_quarantine(context) {
+                                break Err(refusal);
+                            }
+                            if until.has_passed_at(self.clock.now()) {
+                                break Err(Refusal::NoCapacity);
+                            }
+                            continue;
+                        }
+                    };
+                    let upstream = &choice.upstream;
+                    let is_admitted = admission.is_some();
+                    if self.acquire_permit(context, upstream, is_admitted).await {
+                        break Ok(self.take_seat(context, choice, admission));
                     }
                     continue;
                 };
@@ -125,7 +158,11 @@
     }
 
     /// Chooses an upstream with capacity, if there is one.
-    fn choose(&self, context: &mut RequestContext) -> Option<Placement> {
+    fn choose(
+        &self,
+        context: &mut RequestContext,
+        attempts: &AdmissionAttempts,
+    ) -> Option<Placement> {
         let now = self.clock.now();
         // The request waits until its quarantine takes effect or is lifted.
         if self.crashes.is_quarantine_pending(context.key, now) {
@@ -137,13 +174,26 @@
         let needs_weights = context.call.model.is_some() && context.pool.engine.is_some();
         let can_fetch = self.stores.any_reachable();
         let request = context.demand(can_fetch, self.speed.token_us(&context.pool.name));
+        let is_ordered = self.is_ordered(&context.pool.name) && !attempts.is_exhausted();
         let mut versions = Vec::with_capacity(upstreams.len());
+        let mut asks_admission = Vec::with_capacity(upstreams.len());
         let mut candidates: Vec<PlacementCandidate> = upstreams
             .iter()
             .map(|upstream| {
                 let mut candidate =
                     upstream.offer(now, &self.settings.data_centre, context.pool.engine);
-                candidate.usable &= !context.has_tried(upstream);
+                let admission = match is_ordered && !attempts.is_unavailable(upstream) {
+                    true => {
+                        let priority = context.priority();
+                        let engine = context.pool.engine;
+                        upstream.admission_offer(&candidate, engine, priority, now)
+                    }
+                    false => None,
+                };
+                asks_admission.push(admission.is_some());
+                candidate = admission.unwrap_or(candidate);
+                candidate.usable &=
+                    !context.has_tried(upstream) && !attempts.has_rejected(upstream);
                 let version = upstream.weights(&model, now);
                 candidate.weights = self.classify_weights(version, &model, now);
                 match version {
@@ -162,16 +212,25 @@
         if self.is_suspect(context) {
             keep_least_loaded(&mut candidates);
         }
-        let index = choose_upstream(&request, &candidates)?;
+        let index = choose_with_last(&request, &candidates, |index| {
+            attempts.is_unavailable(&upstreams[index])
+        })?;
         let version = versions[index].filter(|_| context.call.model.is_some());
         let same_weights =
             candidates.iter().zip(&versions).filter(|(_, other)| **other == version);
         let cached_tokens =
             same_weights.map(|(candidate, _)| candidate.cached_tokens).max();
+        let available_tokens = match version.filter(|_| asks_admission[index]) {
+            Some(version) => self.available_tokens(context, version),
+            None => 0,
+        };
+        let prompt_tokens = request.shared_tokens + request.own_tokens;
         Some(Placement {
             upstream: upstreams[index].clone(),
+            prefill_tokens: prompt_tokens.saturating_sub(available_tokens),
             demand: request,
             weights: version,
+            asks_admission: asks_admission[index],
             cached_tokens: cached_tokens.unwrap_or_default(),
         })
     }
@@ -183,8 +242,13 @@
     }
 
     /// Reserves capacity at the chosen upstream.
-    fn take_seat(&self, context: &mut RequestContext, choice: Placement) -> Reservation {
-        let Placement { upstream, demand: request, weights, .. } = choice;
+    fn take_seat(
+        &self,
+        context: &mut RequestContext,
+        choice: Placement,
+        admission: Option<AdmissionGuard>,
+    ) -> Reservation {
+        let Placement { upstream, demand: request, weights, prefill_tokens, .. } = choice;
         let model = context.call.model.clone().unwrap_or_default();
         context.weights = weights;
         context.weights_outdated_ms =
@@ -192,9 +256,10 @@
         if context.weights_outdated_ms.is_some() {
             self.metrics.placed_on_older_weights.inc();
         }
-        let missing = request.shared_tokens + request.own_tokens;
         let changed = self.upstreams.changed.clone();
-        Reservation::take(upstream, request.memory_tokens(), missing, changed)
+        let memory_tokens = request.memory_tokens();
+        Reservation::take(upstream, memory_tokens, prefill_tokens, changed)
+            .with_admission(admission)
     }
 }
 
@@ -205,10 +270,32 @@
     pub(crate) demand: PlacementRequest,
     /// The version of the upstream's weights.
     pub(crate) weights: Option<u64>,
+    /// The prompt tokens that the upstream has to prefill; all of them if its sidecar does
+    /// not decide on admissions.
+    pub(crate) prefill_tokens: u64,
+    /// Whether the upstream's sidecar decides on the admission of the request.
+    pub(crate) asks_admission: bool,
     /// The largest number of shared tokens that any upstream with these weights holds.
     pub(crate) cached_tokens: u64,
 }
 
+/// Chooses among the candidates, and takes one of those that are `last` only if no other
+/// has capacity.
+fn choose_with_last(
+    request: &PlacementRequest,
+    candidates: &[PlacementCandidate],
+    is_last: impl Fn(usize) -> bool,
+) -> Option<usize> {
+    if !(0..candidates.len()).any(&is_last) {
+        return choose_upstream(request, candidates);
+    }
+    let mut preferred = candidates.to_vec();
+    for (index, candidate) in preferred.iter_mut().enumerate() {
+        candidate.usable &= !is_last(index);
+    }
+    choose_upstream(request, &preferred).or_else(|| choose_upstream(request, candidates))
+}
+
 /// Keeps only the least loaded upstreams usable, so that a crash affects the fewest runs.
 fn keep_least_loaded(candidates: &mut [PlacementCandidate]) {
     let usable = candidates.iter().filter(|candidate| candidate.usable);
--- a/crates/bilberry-gateway/src/request_context.rs
+++ b/crates/bilberry-gateway/src/request_context.rs
@@ -85,6 +85,11 @@
     pub waited_ms: u64,
     /// The share of this time spent waiting for parts that other requests compute.
     pub waited_for_parts_ms: u64,
+    /// The share of this time spent in the queues of engines' sidecars.
+    pub admission_wait_ms: u64,
+    /// When the caller should return, if the sidecars of engines rejected the request, in
+    /// milliseconds.
+    pub admission_retry_ms: Option<u64>,
     /// The shared tokens that the upstream of the last send held or could fetch.
     pub supplied_tokens: u64,
     /// The time from the arrival of the request to the first byte of the response.
--- a/crates/bilberry-gateway/src/request_log.rs
+++ b/crates/bilberry-gateway/src/request_log.rs
@@ -65,6 +65,7 @@
         lacking_ms = context.weights_outdated_ms.unwrap_or_default(),
         waited_ms = context.waited_ms,
         waited_for_parts_ms = context.waited_for_parts_ms,
+        admission_wait_ms = context.admission_wait_ms,
         shared_tokens = context.call.shared_tokens(),
         supplied_tokens = context.supplied_tokens,
         target_ms = context.route.target_ms,
--- a/crates/bilberry-gateway/src/request_permit.rs
+++ b/crates/bilberry-gateway/src/request_permit.rs
@@ -103,10 +103,13 @@
 
     /// Charges a request to the limit of the upstream, if it has one; returns whether the
     /// request may be sent there.
+    ///
+    /// A request that the upstream's sidecar has admitted needs no free slot.
     pub(crate) async fn acquire_permit(
         &self,
         context: &mut RequestContext,
         upstream: &Arc<Upstream>,
+        is_admitted: bool,
     ) -> bool {
         context.permit = None;
         let report = upstream.limit_report();
@@ -137,7 +140,7 @@
         // The upstream may have filled up or left meanwhile.
         let place = &self.settings.data_centre;
         let offer = upstream.offer(now, place, context.pool.engine);
-        let may_send = offer.usable && offer.free_slots > 0;
+        let may_send = offer.usable && (is_admitted || offer.free_slots > 0);
         if !may_send {
             self.return_permit(context);
         }
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -43,6 +43,12 @@
 /// The divisor of a wait that gives the range over which retries after it are spread.
 const WAIT_SPREAD_DIVISOR: u64 = 4;
 
+/// The divisor of the time named by a sidecar that gives the range over which retries
+/// after it are spread.
+///
+/// Callers that several entries rejected together get the same time.
+const ADMISSION_SPREAD_DIVISOR: u64 = 8;
+
 /// The shortest and the longest `Retry-After` of a refused request, in milliseconds.
 ///
 /// Capacity becomes free as running requests finish, some hundred milliseconds apart.
@@ -183,6 +189,8 @@
             prefix_wait_until: None,
             waited_ms: 0,
             waited_for_parts_ms: 0,
+            admission_wait_ms: 0,
+            admission_retry_ms: None,
             supplied_tokens: 0,
             first_byte_ms: None,
             detail: String::new(),
@@ -237,6 +245,9 @@
         let wait_ms = return_at.map(|return_at| return_at.ms_since(now));
         let range_ms = outage_range_ms.or(wait_ms.map(retry_range_after_wait_ms));
         refusal.to_response(match (refusal, range_ms) {
+            (Refusal::NoCapacity, _) if context.admission_retry_ms.is_some() => {
+                admission_retry_after_ms(context.admission_retry_ms, left_ms)
+            }
             (Refusal::NoWeights, _) => late_retry_after_ms(left_ms),
             (Refusal::Quarantined { for_ms }, _) => *for_ms,
             (Refusal::QuotaExceeded { wait_ms }, _) => *wait_ms,
@@ -261,6 +272,16 @@
     (wait_ms, wait_ms + (wait_ms / WAIT_SPREAD_DIVISOR).max(RETRY_AFTER_RANGE_MS.0))
 }
 
+/// Returns the retry delay for a caller that sidecars rejected, with a small jitter.
+///
+/// Sidecars let it go ahead of newcomers when it returns, so it may return on time.
+fn admission_retry_after_ms(retry_after_ms: Option<u64>, left_ms: u64) -> u64 {
+    let (min, default) = RETRY_AFTER_RANGE_MS;
+    let after_ms = retry_after_ms.unwrap_or(default).max(min);
+    let jitter_ms = rand::random_range(0..=after_ms / ADMISSION_SPREAD_DIVISOR);
+    (after_ms + jitter_ms).min((left_ms / RETRY_AFTER_DIVISOR).max(min))
+}
+
 /// Returns a random retry delay for a caller for which no upstream has the weights.
 ///
 /// No upstream is known to load them, so the delay is as long as callers honour: a caller
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -1,5 +1,6 @@
 //! The current knowledge of an entry about one upstream.
 
+mod admission;
 mod limit;
 mod live;
 pub(crate) mod reservation;
@@ -27,6 +28,7 @@
 use crate::EngineConfig;
 use crate::Listing;
 use crate::ServerStatus;
+use crate::admission::AdmissionQueue;
 use crate::upstream::live::Live;
 
 /// How long a part counts as held after it was prefilled or used there.
@@ -102,6 +104,7 @@
     parts: Mutex<HashMap<u64, UnixMs>>,
     lost: watch::Sender<bool>,
     to_sidecar: Mutex<Option<mpsc::Sender<Body>>>,
+    admissions: Mutex<Option<AdmissionQueue>>,
     status_changed: Arc<Notify>,
 }
 
@@ -122,6 +125,7 @@
             parts: Mutex::default(),
             lost: watch::Sender::new(false),
             to_sidecar: Mutex::default(),
+            admissions: Mutex::default(),
             status_changed: Arc::default(),
         }
     }
--- a/crates/bilberry-gateway/src/upstream/live.rs
+++ b/crates/bilberry-gateway/src/upstream/live.rs
@@ -1,5 +1,7 @@
 //! The mutable state of one incarnation of an upstream.
 
+use std::collections::BTreeMap;
+
 use bilberry_core::Incarnation;
 use bilberry_core::LimitGate;
 use bilberry_core::Name;
@@ -34,6 +36,8 @@
     pub(super) sent_since_feed: u64,
     pub(super) tokens_since_feed: u64,
     pub(super) pending_tokens: u64,
+    /// Prompt tokens of requests that wait for their admission, by priority.
+    pub(super) awaiting_tokens: BTreeMap<u8, u64>,
     pub(super) reserved_tokens: u64,
     pub(super) failures: u32,
     /// Until when it gets no requests after a failure or a refusal as busy.
@@ -72,6 +76,7 @@
             sent_since_feed: 0,
             tokens_since_feed: 0,
             pending_tokens: 0,
+            awaiting_tokens: BTreeMap::new(),
             reserved_tokens: 0,
             failures: 0,
             backoff_until: UnixMs(0),
--- a/crates/bilberry-gateway/src/upstream/reservation.rs
+++ b/crates/bilberry-gateway/src/upstream/reservation.rs
@@ -4,6 +4,7 @@
 
 use tokio::sync::Notify;
 
+use crate::AdmissionGuard;
 use crate::Upstream;
 
 /// A request's reservation of a slot and memory at an upstream, released on drop.
@@ -15,6 +16,7 @@
     pending_tokens: u64,
     pending_tokens_ahead: u64,
     is_probe: bool,
+    admission: Option<AdmissionGuard>,
     freed: Arc<Notify>,
 }
 
@@ -43,10 +45,17 @@
             pending_tokens,
             pending_tokens_ahead,
             is_probe,
+            admission: None,
             freed,
         }
     }
 
+    /// Adds the admission by the upstream's sidecar, which ends with the reservation.
+    pub(crate) fn with_admission(mut self, admission: Option<AdmissionGuard>) -> Self {
+        self.admission = admission;
+        self
+    }
+
     /// Returns how many tokens of this entry's earlier requests its upstream still had to
     /// prefill when the reservation was made.
     pub fn pending_tokens_ahead(&self) -> u64 {
@@ -55,6 +64,13 @@
 
     /// Records that the prompt has been prefilled.
     pub fn mark_prefilled(&mut self) {
+        self.release_pending();
+        if let Some(admission) = &mut self.admission {
+            admission.mark_prefilled();
+        }
+    }
+
+    fn release_pending(&mut self) {
         let pending = std::mem::take(&mut self.pending_tokens);
         self.upstream.live.lock().unwrap().pending_tokens -= pending;
     }
@@ -62,7 +78,7 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.mark_prefilled();
+        self.release_pending();
         let mut live = self.upstream.live.lock().unwrap();
         live.in_progress -= 1;
         live.reserved_tokens -= self.memory_tokens;
