--- a/crates/bilberryctl/src/explain.rs
+++ b/crates/bilberryctl/src/explain.rs
@@ -81,6 +81,10 @@
         );
         events.push(event(waited_ms, what));
     }
+    let admissions = line.text("detail").split("; ");
+    for admission in admissions.filter(|detail| detail.starts_with("admission: ")) {
+        events.push(event(waited_ms, admission.to_string()));
+    }
     if !line.text("tried").is_empty() {
         let what = format!(
             "is sent {} times, to {}; {} of {} shared tokens supplied",
--- a/crates/bilberryctl/src/losses.rs
+++ b/crates/bilberryctl/src/losses.rs
@@ -94,6 +94,13 @@
         "" => String::new(),
         detail => format!(": {detail}"),
     };
+    // Without the times and engines that differ from request to request.
+    if line.message == "no_room" && detail.contains("admission: rejected by ") {
+        return Some("no_room, rejected by admission".to_string());
+    }
+    if line.message == "no_room" && line.number("admission_wait_ms") > 0 {
+        return Some("no_room, waited for admission".to_string());
+    }
     if line.message != "served" {
         return Some(format!("{}{why}", line.message));
     }
@@ -104,6 +111,7 @@
     }
     let waited_ms = line.number("waited_ms");
     let for_parts_ms = line.number("waited_for_parts_ms");
+    let for_admission_ms = line.number("admission_wait_ms");
     let read_tokens =
         line.number("shared_tokens").saturating_sub(line.number("supplied_tokens"));
     let late = match () {
@@ -111,6 +119,7 @@
         _ if waited_ms * 2 >= first_byte_ms && for_parts_ms * 2 >= waited_ms => {
             "waited for parts that others read".to_string()
         }
+        _ if for_admission_ms * 2 >= first_byte_ms => "waited for admission".to_string(),
         _ if waited_ms * 2 >= first_byte_ms => "waited for room".to_string(),
         _ if read_tokens > 0 => "its server read a shared part".to_string(),
         _ => "slow at its server".to_string(),
--- a/crates/bilberryctl/tests/logs.rs
+++ b/crates/bilberryctl/tests/logs.rs
@@ -29,6 +29,17 @@
     insta::assert_snapshot!(run(&["losses", "--logs", "entry-1.log", "entry-2.log"]));
 }
 
+#[test]
+fn requests_rejected_or_delayed_by_admission_are_grouped() {
+    // The engines and times in the details differ from request to request.
+    insta::assert_snapshot!(run(&["losses", "--logs", "entry-3.log"]));
+}
+
+#[test]
+fn the_timeline_names_the_admissions_of_a_request() {
+    insta::assert_snapshot!(run(&["explain", "--logs", "entry-3.log", "d3"]));
+}
+
 #[test]
 fn programs_get_json() {
     let text = run(&["--json", "losses", "--logs", "entry-2.log", "--window", "10"]);
