--- a/crates/bilberry-gateway/tests/admission.rs
+++ b/crates/bilberry-gateway/tests/admission.rs
@@ -40,8 +40,11 @@
 use bilberry_wire::AdmissionResponse;
 use bilberry_wire::AdmissionStage;
 use bilberry_wire::Body;
+use bilberry_wire::CrashNotice;
+use bilberry_wire::CrashedRun;
 use bilberry_wire::Frame;
 use bilberry_wire::FrameCodec;
+use bilberry_wire::ModelVersion;
 use bilberry_wire::PriorityLoad;
 use bilberry_wire::UpstreamState;
 use bytes::Bytes;
@@ -73,14 +76,18 @@
 
 type Entry = Gateway<TestDialect, BootClock>;
 
-/// A dialect in which each request has an attempt, and a prompt of 100 tokens.
+const MODEL: &str = "model-a";
+
+/// A dialect in which each request has an attempt, and a prompt of 100 tokens for a model.
 struct TestDialect;
 
 impl Dialect for TestDialect {
     fn decode(&self, headers: &HeaderMap) -> Result<RequestMetadata, InvalidHeader> {
         let attempt = headers.get("attempt").and_then(|value| value.to_str().ok());
         let attempt = attempt.unwrap_or_default().into();
-        Ok(RequestMetadata { attempt, prompt_tokens: 100, ..RequestMetadata::default() })
+        let model = Some(MODEL.into());
+        let metadata = RequestMetadata::default();
+        Ok(RequestMetadata { attempt, model, prompt_tokens: 100, ..metadata })
     }
 
     fn request_headers(&self, inbound: &HeaderMap, _: &Dispatch) -> HeaderMap {
@@ -119,6 +126,8 @@
 enum Command {
     State(UpstreamState),
     Respond(u64, AdmissionOutcome, u64),
+    /// Relays that a request crashed three servers.
+    Crashes(u64),
     /// Closes the connection and the listener.
     End,
     /// Sends nothing more on the open connection.
@@ -167,7 +176,7 @@
             data_centre: "hall-a".into(),
             slots: SLOTS,
             leaving: false,
-            models: Vec::new(),
+            models: vec![(MODEL.into(), 1)],
             listed_at: StorePosition { era: None, revision: 1 },
             incarnation: None,
         }
@@ -254,6 +263,12 @@
                     state = changed;
                     Some(state_frame(&state))
                 }
+                Some(Command::Crashes(request)) => {
+                    let crash = |server| CrashedRun { request, server, ..Default::default() };
+                    let notice = CrashNotice { runs: (1..=3).map(crash).collect() };
+                    let body = Some(Body::CrashNotice(notice));
+                    Some(Frame { body, ..Frame::default() })
+                }
                 Some(Command::Freeze) => std::future::pending().await,
                 Some(Command::End) | None => return,
             },
@@ -286,7 +301,8 @@
 /// Returns the state of an idle engine whose sidecar decides on admissions or not.
 fn state(decides: bool) -> UpstreamState {
     let admission = decides.then(AdmissionLoad::default);
-    UpstreamState { up: true, admission, ..UpstreamState::default() }
+    let models = vec![ModelVersion { model: MODEL.to_string(), version: 1 }];
+    UpstreamState { up: true, models, admission, ..UpstreamState::default() }
 }
 
 /// Returns an address that no other test uses.
@@ -605,6 +621,39 @@
     }
 }
 
+#[tokio::test]
+async fn a_queued_request_that_is_quarantined_does_not_run() {
+    // Guards against a request that crashes one more engine because it was queued before
+    // its crashes were known.
+    let mut deployment = Deployment::start(1, policy(300, 1_000)).await;
+    let sent = deployment.send("a");
+    let (call, request) = deployment.engines[0].requested().await;
+    deployment.engines[0].respond(call, AdmissionOutcome::Queued, 500);
+    deployment.engines[0].send(Command::Crashes(request.key));
+    deployment.engines[0].assert_update(call, AdmissionStage::Ended).await;
+    deployment.engines[0].respond(call, AdmissionOutcome::Admitted, 0);
+    let named = retry_after(sent).await;
+    assert!(named > Duration::from_secs(60), "{named:?}");
+    assert_eq!(deployment.runs("a"), 0);
+}
+
+#[tokio::test]
+async fn a_queued_request_asks_again_when_the_weights_change() {
+    // Guards against a request that is sent for weights which the engine no longer has.
+    let mut deployment = Deployment::start(1, policy(300, 1_000)).await;
+    let sent = deployment.send("a");
+    let (call, _) = deployment.engines[0].requested().await;
+    deployment.engines[0].respond(call, AdmissionOutcome::Queued, 500);
+    let models = vec![ModelVersion { model: MODEL.to_string(), version: 2 }];
+    let changed = UpstreamState { models, ..state(true) };
+    deployment.engines[0].send(Command::State(changed));
+    let again = deployment.engines[0].admit().await;
+    assert_served(sent).await;
+    assert!(again > call, "{again} after {call}");
+    deployment.engines[0].assert_update(call, AdmissionStage::Ended).await;
+    assert_eq!(deployment.runs("a"), 1);
+}
+
 #[tokio::test]
 async fn requests_queued_at_a_sidecar_that_dies_run_once_elsewhere() {
     let mut deployment = Deployment::start(2, policy(300, 1_000)).await;
