Keep callers' return within the time for which sidecars keep their turn

A rejected caller that returns more than a second after the time named is treated like a newcomer, so the spread is at most 200 ms. A rejection because the engine loads or is down does not count towards the two engines that are asked.

--- a/crates/bilberry-gateway/src/admission.rs
+++ b/crates/bilberry-gateway/src/admission.rs
@@ -282,6 +282,10 @@
                 AdmissionOutcome::Queued => *is_queued = true,
                 AdmissionOutcome::Rejected => {
                     guard.is_open = false;
+                    // The engine went down or began to load, and others may take it.
+                    if !self.may_await(context, choice, self.clock.now()) {
+                        return AdmissionResult::Withdrawn;
+                    }
                     return AdmissionResult::Rejected {
                         retry_after_ms: response.wait_ms,
                     };
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -43,10 +43,13 @@
 /// The divisor of a wait that gives the range over which retries after it are spread.
 const WAIT_SPREAD_DIVISOR: u64 = 4;
 
-/// The divisor of the time named by a sidecar that gives the range over which retries
-/// after it are spread.
+/// The longest spread of the retries after a time named by a sidecar.
 ///
-/// Callers that several entries rejected together get the same time.
+/// Callers that several entries rejected together get the same time, and one that returns
+/// more than a second late is treated like a newcomer.
+const ADMISSION_SPREAD_MAX_MS: u64 = 200;
+
+/// The divisor of that time that gives the spread of the retries after it.
 const ADMISSION_SPREAD_DIVISOR: u64 = 8;
 
 /// The shortest and the longest `Retry-After` of a refused request, in milliseconds.
@@ -278,7 +281,8 @@
 fn admission_retry_after_ms(retry_after_ms: Option<u64>, left_ms: u64) -> u64 {
     let (min, default) = RETRY_AFTER_RANGE_MS;
     let after_ms = retry_after_ms.unwrap_or(default).max(min);
-    let jitter_ms = rand::random_range(0..=after_ms / ADMISSION_SPREAD_DIVISOR);
+    let spread_ms = (after_ms / ADMISSION_SPREAD_DIVISOR).min(ADMISSION_SPREAD_MAX_MS);
+    let jitter_ms = rand::random_range(0..=spread_ms);
     (after_ms + jitter_ms).min((left_ms / RETRY_AFTER_DIVISOR).max(min))
 }
 
