Answer queries about runs and report stalls of an engine

The sidecar records each report that lists runs, replies to RunQuery, and publishes, logs and counts when an engine that responds makes no progress.

--- a/crates/bilberry-steward/src/engine_controller.rs
+++ b/crates/bilberry-steward/src/engine_controller.rs
@@ -24,6 +24,7 @@
 use crate::OrderGate;
 use crate::OrderReply;
 use crate::RunInterest;
+use crate::RunTracker;
 use crate::SidecarMetrics;
 use crate::SwapMode;
 
@@ -63,6 +64,7 @@
     cache: Arc<CacheView>,
     order_gate: Arc<OrderGate>,
     run_interest: RunInterest,
+    runs: Arc<RunTracker>,
     state: watch::Sender<EngineState>,
     /// Counters and gauges.
     pub metrics: SidecarMetrics,
@@ -89,6 +91,8 @@
     /// The most recently logged plan.
     plan: Option<LoadPlan>,
     next_order_at: UnixMs,
+    /// Whether the stall of the engine has been logged.
+    is_stalled: bool,
 }
 
 impl PollState {
@@ -100,6 +104,7 @@
             accepted_order: None,
             plan: None,
             next_order_at: UnixMs(0),
+            is_stalled: false,
         }
     }
 }
@@ -140,6 +145,7 @@
             cache,
             order_gate: Arc::default(),
             run_interest: RunInterest::default(),
+            runs: Arc::default(),
             state: watch::Sender::default(),
             metrics: SidecarMetrics::new(),
         }
@@ -155,6 +161,11 @@
         Self { run_interest, ..self }
     }
 
+    /// Records the engine's runs in `runs`, which answers the queries of entries.
+    pub fn with_run_tracker(self, runs: Arc<RunTracker>) -> Self {
+        Self { runs, ..self }
+    }
+
     /// Subscribes to the engine's state.
     pub fn state(&self) -> watch::Receiver<EngineState> {
         self.state.subscribe()
@@ -197,6 +208,7 @@
         if relation == IncarnationOrder::Newer {
             log::info!(target: "engine", running = report.running, orders = report.orders; "started again");
             *state = PollState::new(self.outdated_weights_max_ms);
+            self.runs.reset();
         }
         if relation != IncarnationOrder::Older {
             state.incarnation = report.incarnation.or(state.incarnation);
@@ -221,7 +233,10 @@
             // the epoch once the engine responds again.
             self.cache.clear_epoch();
             self.metrics.engine_up.set(0);
-            self.publish(|published| published.upstream.up = false);
+            self.publish(|published| {
+                published.upstream.up = false;
+                published.upstream.stalled = false;
+            });
         }
     }
 
@@ -232,6 +247,8 @@
         self.record_plan(report, next_load.as_ref(), state, now);
         let loading =
             report.busy || next_load.as_ref().is_some_and(|load| load.is_imminent(now));
+        let stalled = self.runs.record(report, now);
+        self.record_stall(report, stalled, state);
         self.metrics.engine_up.set(1);
         self.metrics.running.set(report.running as i64);
         self.metrics.queued.set(report.queued as i64);
@@ -250,6 +267,7 @@
             upstream.queued = report.queued;
             upstream.used_tokens = report.used_tokens;
             upstream.total_tokens = report.total_tokens;
+            upstream.stalled = stalled;
         });
         if let Some(incarnation) = state.incarnation {
             self.cache.observe_incarnation(incarnation);
@@ -264,6 +282,24 @@
         }
     }
 
+    /// Logs and counts the start and the end of a stall.
+    fn record_stall(&self, report: &EngineReport, stalled: bool, state: &mut PollState) {
+        self.metrics.engine_stalled.set(i64::from(stalled));
+        if std::mem::replace(&mut state.is_stalled, stalled) == stalled {
+            return;
+        }
+        let (running, queued) = (report.running, report.queued);
+        match stalled {
+            true => {
+                self.metrics.stalls.inc();
+                log::warn!(target: "engine", running, queued; "runs make no progress");
+            }
+            false => {
+                log::info!(target: "engine", running, queued; "runs make progress again");
+            }
+        }
+    }
+
     /// Returns the load that brings outdated weights of the engine up to date.
     ///
     /// The load is scheduled from the first version that the engine missed, and loads the
--- a/crates/bilberry-steward/src/feed.rs
+++ b/crates/bilberry-steward/src/feed.rs
@@ -40,6 +40,7 @@
 use crate::PromptStores;
 use crate::QuotaOwner;
 use crate::RunInterest;
+use crate::RunTracker;
 use crate::WatchHub;
 use crate::WatchSource;
 use crate::quota_owner::EntryPresence;
@@ -85,6 +86,8 @@
     pub limits: LimitRelay,
     /// Whether entries use what the sidecar observes of the engine's runs.
     pub run_interest: RunInterest,
+    /// The progress of the engine's runs.
+    pub runs: Arc<RunTracker>,
     /// The clock for load times and reports.
     pub clock: C,
 }
@@ -250,6 +253,12 @@
                             framed.send(Frame { call, body, ..Frame::default() }).await?;
                             continue;
                         }
+                        Some(Body::RunQuery(query)) => {
+                            let reply = feed.runs.answer(&query, feed.clock.now());
+                            let body = Some(Body::RunReply(reply));
+                            framed.send(Frame { call, body, ..Frame::default() }).await?;
+                            continue;
+                        }
                         Some(Body::LimitNotice(notice)) => {
                             feed.limits.merge(&notice, feed.clock.now());
                             continue;
@@ -383,7 +392,8 @@
     let urgent = |state: &EngineState| {
         let EngineState { upstream, loads_at } = state;
         let incarnation = (upstream.cache_epoch, upstream.started_at_ms);
-        (upstream.up, upstream.loading, upstream.leaving, incarnation, *loads_at)
+        let up = (upstream.up, upstream.stalled);
+        (up, upstream.loading, upstream.leaving, incarnation, *loads_at)
     };
     urgent(before) != urgent(now) || before.upstream.models != now.upstream.models
 }
--- a/crates/bilberry-steward/src/lib.rs
+++ b/crates/bilberry-steward/src/lib.rs
@@ -16,6 +16,7 @@
 mod prompt_stores;
 mod quota_owner;
 mod run_interest;
+mod run_progress;
 mod watch_hub;
 
 pub use cache::CacheEvents;
@@ -42,6 +43,7 @@
 pub use prompt_stores::PromptStores;
 pub use quota_owner::QuotaOwner;
 pub use run_interest::RunInterest;
+pub use run_progress::RunTracker;
 pub use watch_hub::SourceResponse;
 pub use watch_hub::WatchHub;
 pub use watch_hub::WatchSource;
--- a/crates/bilberry-steward/src/metrics.rs
+++ b/crates/bilberry-steward/src/metrics.rs
@@ -36,6 +36,10 @@
     pub unanswered: Counter,
     /// Whether the engine responds, 0 or 1.
     pub engine_up: Gauge,
+    /// Whether the engine responds while its runs make no progress, 0 or 1.
+    pub engine_stalled: Gauge,
+    /// How often the engine's runs ceased to make progress.
+    pub stalls: Counter,
     /// Requests running at the engine.
     pub running: Gauge,
     /// Requests queued at the engine.
@@ -58,6 +62,8 @@
             load_seconds: Histogram::new(LOAD_BUCKETS_S),
             unanswered: Counter::default(),
             engine_up: Gauge::default(),
+            engine_stalled: Gauge::default(),
+            stalls: Counter::default(),
             running: Gauge::default(),
             queued: Gauge::default(),
             used_tokens: Gauge::default(),
@@ -79,6 +85,11 @@
         registry.register("unanswered", "Questions left unanswered", unanswered);
         let up = self.engine_up.clone();
         registry.register("engine_up", "Whether the engine answers", up);
+        let stalled = self.engine_stalled.clone();
+        let help = "Whether the engine's runs make no progress";
+        registry.register("engine_stalled", help, stalled);
+        let stalls = self.stalls.clone();
+        registry.register("stalls", "Stalls of the engine's runs", stalls);
         registry.register("running", "Requests that run", self.running.clone());
         registry.register("queued", "Requests that wait", self.queued.clone());
         let used = self.used_tokens.clone();
--- a/crates/bilberryd/src/hosted.rs
+++ b/crates/bilberryd/src/hosted.rs
@@ -45,6 +45,7 @@
 use bilberry_steward::PromptStores;
 use bilberry_steward::QuotaOwner;
 use bilberry_steward::RunInterest;
+use bilberry_steward::RunTracker;
 use bilberry_steward::WatchHub;
 use bilberry_steward::serve_feed;
 use thiserror::Error;
@@ -238,7 +239,9 @@
         cache.clone(),
     );
     let run_interest = RunInterest::default();
+    let runs = Arc::new(RunTracker::default());
     let steward = steward.with_order_gate(first_order.clone());
+    let steward = steward.with_run_tracker(runs.clone());
     let steward = Arc::new(steward.with_run_interest(run_interest.clone()));
     let claims = Claims::new(settings.store);
     tokio::spawn(allow_first_order(claims, clock, steward.state(), first_order));
@@ -266,6 +269,7 @@
         quotas,
         limits,
         run_interest,
+        runs,
         clock,
     };
     tokio::spawn(serve_feed(feed, feed_state));
