Ask the sidecar about a silent run before it is given up

For services whose runs are observed, the entry asks the sidecar once a run has been silent for the timeout of before, or at once when the sidecar reports a stall. A stalled engine gets one request at a time, and an at-most-once run there is asked to be stopped.

Tests: bilberry-gateway (all passed).

--- a/crates/bilberry-gateway/src/feeds.rs
+++ b/crates/bilberry-gateway/src/feeds.rs
@@ -38,6 +38,8 @@
 use crate::hubs::QUESTION_QUEUE_CAPACITY;
 use crate::quota_client::QUOTA_QUEUE_CAPACITY;
 use crate::quota_client::QuotaQuestion;
+use crate::run_query::PendingRunQueries;
+use crate::run_query::RUN_QUERY_QUEUE_CAPACITY;
 use crate::upstreams::UpstreamsByPool;
 
 /// The interval at which the set of feeds is reconciled with the listed upstreams.
@@ -162,6 +164,8 @@
     let mut pending = PendingQuestions::default();
     let (charges, mut queued_charges) = mpsc::channel(QUOTA_QUEUE_CAPACITY);
     let mut pending_charges = PendingCharges::default();
+    let (run_queries, mut queued_run_queries) = mpsc::channel(RUN_QUERY_QUEUE_CAPACITY);
+    let mut pending_run_queries = PendingRunQueries::default();
     let mut quota_registration = None;
     let mut registration = None;
     let mut last_notice = None;
@@ -182,6 +186,7 @@
                 return Ok(());
             }
             upstream.set_sidecar_queue(queue.clone());
+            upstream.set_run_query_queue(run_queries.clone());
             summaries.mark_changed();
         }
         if summaries.has_changed().unwrap_or(false) {
@@ -217,6 +222,10 @@
                 framed.send(pending_charges.register(question)).await?;
                 continue;
             }
+            Some(question) = queued_run_queries.recv() => {
+                framed.send(pending_run_queries.register(question)).await?;
+                continue;
+            }
         };
         deadline = Instant::now() + IDLE_TIMEOUT;
         let Some(frame) = frame else { return Ok(()) };
@@ -243,6 +252,10 @@
                 pending.resolve(call, response);
                 None
             }
+            Some(Body::RunReply(reply)) => {
+                pending_run_queries.resolve(call, reply);
+                None
+            }
             Some(Body::QuotaResponse(response)) => {
                 if let Some(refund) = pending_charges.resolve(call, response) {
                     gateway.quotas.record_late_reply(upstream.seed);
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -1,9 +1,12 @@
 //! Sends a request to upstreams until one of them responds.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bilberry_core::Clock;
+use bilberry_core::LossReason;
 use bilberry_core::RetryKind;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -21,6 +24,9 @@
 use crate::ResponseClass;
 use crate::SendError;
 use crate::Upstream;
+use crate::run_query::AwaitedRun;
+use crate::run_query::GivenUp;
+use crate::run_query::SLOW;
 
 /// How many sends are allowed beyond the route's attempts if the request did not run.
 ///
@@ -66,6 +72,8 @@
     NotRun(&'static str),
     /// The request may have run or may still run.
     MayHaveRun(&'static str),
+    /// The run is lost according to the engine's sidecar, but may continue.
+    Lost(LossReason),
     /// The caller's deadline has passed.
     Expired,
 }
@@ -132,6 +140,12 @@
                     }
                     self.check_rerun(context)?;
                 }
+                SendOutcome::Lost(reason) => {
+                    self.metrics.count_send(reason.label());
+                    context.detail = reason.as_str().to_string();
+                    context.runs += 1;
+                    self.check_rerun(context)?;
+                }
                 SendOutcome::Expired => {
                     self.metrics.count_send("expired");
                     return Err(Refusal::DeadlinePassed);
@@ -213,16 +227,30 @@
         let may_repeat = self.may_run_after(context, context.runs + 1);
         let left = context.deadline.remaining(now);
         let max_wait = response_timeout(context, upstream.has_current_feed(now));
+        let was_slow = AtomicBool::new(false);
+        let awaited = AwaitedRun {
+            upstream: &upstream,
+            max_silence: max_wait,
+            is_observed: self.observes_runs(&context.pool.name),
+            was_slow: &was_slow,
+        };
         let sent = tokio::select! {
             sent = connection.send(request) => sent,
             _ = upstream.wait_until_lost(), if repeatable => {
                 Err(SendError::NoResponse("the upstream is down".to_string()))
             }
-            _ = self.wait_for_alternative(context, &upstream, max_wait), if may_repeat => {
-                return SendOutcome::MayHaveRun("silent");
+            given_up = self.wait_for_alternative(context, awaited), if may_repeat => {
+                return match given_up {
+                    GivenUp::TimedOut => SendOutcome::MayHaveRun("silent"),
+                    GivenUp::Lost(reason) => SendOutcome::Lost(reason),
+                };
+            }
+            _ = sleep(left) => {
+                note_if_slow(context, &was_slow);
+                return SendOutcome::Expired;
             }
-            _ = sleep(left) => return SendOutcome::Expired,
         };
+        note_if_slow(context, &was_slow);
         match sent {
             Ok(response) => {
                 self.classify_response(context, response, connection, reservation)
@@ -241,21 +269,22 @@
         }
     }
 
-    /// Waits until an upstream has been silent for `max_wait` and the request can be sent
-    /// to another one.
+    /// Waits until a silent run is given up and the request can be sent to another
+    /// upstream.
     ///
     /// A response that comes late is worth more than the end of the only run.
     async fn wait_for_alternative(
         &self,
         context: &RequestContext,
-        silent: &Upstream,
-        max_wait: Duration,
-    ) {
-        sleep(max_wait).await;
+        run: AwaitedRun<'_>,
+    ) -> GivenUp {
+        let silent = run.upstream;
+        let given_up = self.wait_until_given_up(context, run).await;
         silent.record_failure(self.clock.now());
         while !self.can_send_elsewhere(context) {
             sleep(ALTERNATIVE_POLL_INTERVAL).await;
         }
+        given_up
     }
 
     /// Reports whether the retry budget and the capacity of an untried upstream allow
@@ -356,6 +385,13 @@
     }
 }
 
+/// Records in the request log that a slow run was waited for.
+fn note_if_slow(context: &mut RequestContext, was_slow: &AtomicBool) {
+    if was_slow.load(Ordering::Relaxed) {
+        context.detail = SLOW.to_string();
+    }
+}
+
 /// The name, in logs and metrics, of a send of which no byte was written.
 const NOT_CONNECTED: &str = "not_connected";
 
--- a/crates/bilberry-gateway/src/lib.rs
+++ b/crates/bilberry-gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod request_log;
 mod request_permit;
 mod run_observation;
+mod run_query;
 mod run_stop;
 mod serve;
 mod speed;
--- a/crates/bilberry-gateway/src/metrics.rs
+++ b/crates/bilberry-gateway/src/metrics.rs
@@ -35,6 +35,8 @@
     pub quota_units: Family<OutcomeLabel, Counter>,
     /// Requests charged to the limits of upstreams, by decision.
     pub permits: Family<OutcomeLabel, Counter>,
+    /// Queries about the progress of silent runs, by outcome.
+    pub run_queries: Family<OutcomeLabel, Counter>,
     /// Runs that were in progress at an upstream when it crashed.
     pub crashed_runs: Counter,
     /// Requests put in quarantine because they crash servers.
@@ -77,6 +79,7 @@
             sends: Family::default(),
             quota_units: Family::default(),
             permits: Family::default(),
+            run_queries: Family::default(),
             crashed_runs: Counter::default(),
             quarantines: Counter::default(),
             first_byte_seconds: histogram(),
@@ -101,6 +104,8 @@
         let mut registry = self.registry.lock().unwrap();
         registry.register("requests", "Requests by outcome", self.requests.clone());
         registry.register("sends", "Sends to upstreams", self.sends.clone());
+        let help = "Queries about the progress of silent runs";
+        registry.register("run_queries", help, self.run_queries.clone());
         let help = "Runs in progress at an upstream when it crashed";
         registry.register("crashed_runs", help, self.crashed_runs.clone());
         let help = "Units of customer quotas by decision";
@@ -147,6 +152,11 @@
         self.sends.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a query about the progress of a silent run.
+    pub(crate) fn count_run_query(&self, outcome: &'static str) {
+        self.run_queries.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts units by the decision on their charge.
     pub fn count_quota(&self, outcome: &'static str, units: f64) {
         self.quota_units.get_or_create(&OutcomeLabel { outcome }).inc_by(units as u64);
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -2,6 +2,7 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use bilberry_core::Clock;
@@ -33,6 +34,9 @@
 use crate::body_relay::BODY_CHANNEL_CAPACITY;
 use crate::body_relay::BodyEnd;
 use crate::forward::UpstreamResponse;
+use crate::run_query::AwaitedRun;
+use crate::run_query::GivenUp;
+use crate::run_query::SLOW;
 use crate::run_stop::FirstRunEnd;
 use crate::run_stop::RunTakeover;
 use crate::run_stop::STOP_REPLY_TIMEOUT;
@@ -72,13 +76,24 @@
     /// Another upstream may resume the stream.
     ///
     /// For an at-most-once stream, `first_run_end` is how the run ended, if known.
-    Interrupted { reason: &'static str, first_run_end: Option<FirstRunEnd> },
+    /// `is_silent` means that neither side has closed the stream, so its end says nothing
+    /// of a crash.
+    Interrupted {
+        reason: &'static str,
+        first_run_end: Option<FirstRunEnd>,
+        is_silent: bool,
+    },
 }
 
 impl RelayEnd {
     /// An interruption after which the upstream may still run the request.
     fn may_still_run(reason: &'static str) -> Self {
-        Self::Interrupted { reason, first_run_end: None }
+        Self::Interrupted { reason, first_run_end: None, is_silent: false }
+    }
+
+    /// The end of a stream whose upstream is silent and may still run the request.
+    fn silent(reason: &'static str) -> Self {
+        Self::Interrupted { reason, first_run_end: None, is_silent: true }
     }
 }
 
@@ -120,12 +135,21 @@
         let mut splitter = EventSplitter::new();
         let mut response = response;
         loop {
-            let relay_end = self
-                .relay_from_upstream(context, &mut response, &mut splitter, pieces)
-                .await;
-            let (reason, first_run_end) = match relay_end {
-                RelayEnd::Interrupted { reason, first_run_end } => {
-                    (reason, first_run_end)
+            let was_slow = AtomicBool::new(false);
+            let relayed = self.relay_from_upstream(
+                context,
+                &mut response,
+                &mut splitter,
+                pieces,
+                &was_slow,
+            );
+            let relay_end = relayed.await;
+            if was_slow.into_inner() {
+                context.detail = SLOW.to_string();
+            }
+            let (reason, first_run_end, is_silent) = match relay_end {
+                RelayEnd::Interrupted { reason, first_run_end, is_silent } => {
+                    (reason, first_run_end, is_silent)
                 }
                 RelayEnd::Finished(BodyEnd::Complete) => {
                     self.keep_connection(response);
@@ -135,7 +159,7 @@
             };
             let upstream = response.reservation.upstream.clone();
             upstream.record_failure(self.clock.now());
-            if reason != SILENT_RUN_ENDED && reason != SILENT {
+            if !is_silent {
                 self.record_interrupted_run(context, &upstream);
             }
             context.runs += 1;
@@ -190,6 +214,7 @@
         response: &mut UpstreamResponse,
         splitter: &mut EventSplitter,
         pieces: &mpsc::Sender<BodyChunk>,
+        was_slow: &AtomicBool,
     ) -> RelayEnd {
         let silence_ms =
             context.route.gap_ms.map_or(DEFAULT_SILENCE_MS, |g| g * SILENCE_GAP_FACTOR);
@@ -201,20 +226,30 @@
         let run_end = Fuse::terminated();
         tokio::pin!(run_end);
         let mut has_started = false;
+        let is_observed = self.observes_runs(&context.pool.name);
         loop {
+            let awaited = AwaitedRun {
+                upstream: &upstream,
+                max_silence: silence,
+                is_observed,
+                was_slow,
+            };
             let may_resume = self.may_run_after(context, context.runs + 1);
             let left = context.deadline.remaining(self.clock.now());
             let frame = tokio::select! {
                 frame = response.http.body_mut().frame() => frame,
                 _ = pieces.closed() => return RelayEnd::Finished(BodyEnd::CallerLeft),
                 _ = sleep(left) => return RelayEnd::Finished(BodyEnd::DeadlinePassed),
-                _ = sleep(silence), if may_resume => {
-                    return RelayEnd::may_still_run(SILENT);
+                given_up = self.wait_until_given_up(context, awaited), if may_resume => {
+                    return RelayEnd::silent(match given_up {
+                        GivenUp::TimedOut => SILENT,
+                        GivenUp::Lost(reason) => reason.as_str(),
+                    });
                 }
                 _ = wait_until_lost(&upstream), if may_resume => {
                     return RelayEnd::may_still_run("lost");
                 }
-                run = self.wait_until_unresponsive(run, silence),
+                run = self.wait_until_unresponsive(run, silence, is_observed),
                     if run_end.is_terminated() =>
                 {
                     run_end.set(self.ensure_run_ended(run).fuse());
@@ -223,7 +258,11 @@
                 first_run_end = &mut run_end, if !run_end.is_terminated() => {
                     let reason = SILENT_RUN_ENDED;
                     let first_run_end = Some(first_run_end);
-                    return RelayEnd::Interrupted { reason, first_run_end };
+                    return RelayEnd::Interrupted {
+                        reason,
+                        first_run_end,
+                        is_silent: true,
+                    };
                 }
             };
             let is_stop_requested = run.is_some_and(RunTakeover::is_stop_requested);
@@ -254,21 +293,26 @@
     /// Waits until the engine of an at-most-once run should get a request to stop it.
     ///
     /// Never returns if no other engine can take the run over. An engine that its sidecar
-    /// reports as alive is merely slow. One whose sidecar is silent too, or reports it as
-    /// down, is only suspected to have failed, so its stream is still read.
+    /// reports as alive is merely slow, unless none of its runs makes progress. One whose
+    /// sidecar is silent too, or reports it as down or as stalled, is only suspected to
+    /// have failed, so its stream is still read.
     async fn wait_until_unresponsive<'r>(
         &self,
         run: Option<&'r RunTakeover>,
         silence: Duration,
+        is_observed: bool,
     ) -> &'r RunTakeover {
         let Some(run) = run else { return std::future::pending().await };
         let is_followed = || run.upstream.has_current_feed(self.clock.now());
+        let is_stalled = || is_observed && run.upstream.is_stalled();
+        let mut stalls = run.upstream.subscribe_to_stalls();
         loop {
             tokio::select! {
-                _ = sleep(silence) => match is_followed() {
+                _ = sleep(silence) => match is_followed() && !is_stalled() {
                     true => continue,
                     false => break,
                 },
+                _ = stalls.wait_for_next(), if is_observed => break,
                 _ = wait_until_lost(&run.upstream) => break,
             }
         }
@@ -276,7 +320,8 @@
             target: "stream",
             request = run.attempt.as_str(),
             upstream = run.upstream.id.as_str(),
-            sidecar_heard = is_followed();
+            sidecar_heard = is_followed(),
+            engine_stalled = is_stalled();
             "stream is silent; asking the upstream to stop the run"
         );
         run.upstream.record_failure(self.clock.now());
@@ -337,10 +382,10 @@
     run_end: Pin<&mut Fuse<impl Future<Output = FirstRunEnd>>>,
 ) -> RelayEnd {
     match relay_end {
-        RelayEnd::Interrupted { reason, .. } if !run_end.is_terminated() => {
+        RelayEnd::Interrupted { reason, is_silent, .. } if !run_end.is_terminated() => {
             run.inspect(|run| run.mark_stream_closed());
             let first_run_end = timeout(STOP_REPLY_TIMEOUT, run_end).await.ok();
-            RelayEnd::Interrupted { reason, first_run_end }
+            RelayEnd::Interrupted { reason, first_run_end, is_silent }
         }
         relay_end => relay_end,
     }
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -3,6 +3,7 @@
 mod limit;
 mod live;
 pub(crate) mod reservation;
+mod stalls;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -27,6 +28,7 @@
 use crate::EngineConfig;
 use crate::Listing;
 use crate::ServerStatus;
+use crate::run_query::RunQuestion;
 use crate::upstream::live::Live;
 
 /// How long a part counts as held after it was prefilled or used there.
@@ -101,7 +103,10 @@
     live: Mutex<Live>,
     parts: Mutex<HashMap<u64, UnixMs>>,
     lost: watch::Sender<bool>,
+    /// Whether its sidecar reports that its runs make no progress.
+    stalled: watch::Sender<bool>,
     to_sidecar: Mutex<Option<mpsc::Sender<Body>>>,
+    run_queries: Mutex<Option<mpsc::Sender<RunQuestion>>>,
     status_changed: Arc<Notify>,
 }
 
@@ -121,7 +126,9 @@
             live: Mutex::new(live),
             parts: Mutex::default(),
             lost: watch::Sender::new(false),
+            stalled: watch::Sender::new(false),
             to_sidecar: Mutex::default(),
+            run_queries: Mutex::default(),
             status_changed: Arc::default(),
         }
     }
@@ -234,6 +241,7 @@
             *lost = !state.up;
             changed
         });
+        self.set_stalled(state.stalled);
         if state.up && live.feed.as_ref().is_none_or(|(old, _)| !old.up) {
             live.failures = 0;
             live.backoff_until = UnixMs(0);
@@ -323,6 +331,7 @@
             self.status_changed.notify_one();
         }
         live.loads_at = None;
+        self.set_stalled(false);
         if live.ended {
             return;
         }
@@ -490,6 +499,11 @@
         *self.to_sidecar.lock().unwrap() = Some(queue);
     }
 
+    /// Sets the queue of queries to its sidecar.
+    pub(crate) fn set_run_query_queue(&self, queue: mpsc::Sender<RunQuestion>) {
+        *self.run_queries.lock().unwrap() = Some(queue);
+    }
+
     /// Queues a message to its sidecar; returns whether the queue took it.
     pub fn send_to_sidecar(&self, message: Body) -> bool {
         let queue = self.to_sidecar.lock().unwrap();
--- a/crates/bilberry-gateway/src/upstream/live.rs
+++ b/crates/bilberry-gateway/src/upstream/live.rs
@@ -49,7 +49,8 @@
     /// Whether its sidecar stopped sending on an open connection, and neither the sidecar
     /// nor the upstream has responded since.
     pub(super) unresponsive: bool,
-    /// The number of requests in progress that were sent while it was unresponsive.
+    /// The number of requests in progress that were sent while it was unresponsive or
+    /// stalled.
     pub(super) probes: u64,
 }
 
@@ -100,11 +101,16 @@
         self.leaving || self.fresh_feed(now).is_some_and(|state| !state.up)
     }
 
+    /// Reports whether it gets one request at a time, to detect whether it still serves.
+    pub(super) fn is_probed(&self) -> bool {
+        self.unresponsive || self.feed.as_ref().is_some_and(|(state, _)| state.stalled)
+    }
+
     pub(super) fn is_eligible(&self, now: UnixMs) -> bool {
         let is_serving =
             self.fresh_feed(now).is_none_or(|state| state.up && !state.loading);
         let is_free = self.confirmed || self.in_progress == 0;
-        let is_free = is_free && (!self.unresponsive || self.probes == 0);
+        let is_free = is_free && (!self.is_probed() || self.probes == 0);
         let is_paused = !self.paused_until.has_passed_at(now);
         let backs_off = !self.backoff_until.has_passed_at(now);
         let is_limited = !self.limit.is_open(now);
--- a/crates/bilberry-gateway/src/upstream/reservation.rs
+++ b/crates/bilberry-gateway/src/upstream/reservation.rs
@@ -34,7 +34,7 @@
         live.tokens_since_feed += memory_tokens;
         live.reserved_tokens += memory_tokens;
         live.pending_tokens += pending_tokens;
-        let is_probe = live.unresponsive;
+        let is_probe = live.is_probed();
         live.probes += u64::from(is_probe);
         drop(live);
         Self {
