--- a/crates/bilberry-gateway/tests/knowledge.rs
+++ b/crates/bilberry-gateway/tests/knowledge.rs
@@ -187,6 +187,31 @@
     drop(before);
 }
 
+#[test]
+fn a_stalled_engine_gets_one_request_at_a_time() {
+    // Guards against requests that wait at an engine that hangs behind a live sidecar.
+    let engine = Arc::new(engine());
+    let usable = |now: u64| engine.offer(at(now), "a", None).usable;
+    let reservation = || Reservation::take(engine.clone(), 10, 10, Arc::default());
+    let stalled = || UpstreamState { stalled: true, ..idle() };
+    engine.apply_state(idle(), at(0));
+    let before = reservation();
+    engine.apply_state(stalled(), at(100));
+    assert!(usable(100), "requests sent before are not probes");
+    let probe = reservation();
+    assert!(!usable(100));
+    engine.record_answer();
+    engine.apply_state(stalled(), at(600));
+    assert!(!usable(600), "an answer does not show that runs make progress");
+    drop(probe);
+    assert!(usable(600));
+    let _probe = reservation();
+    assert!(!usable(600));
+    engine.apply_state(idle(), at(1_100));
+    assert!(usable(1_100));
+    drop(before);
+}
+
 #[test]
 fn recorded_parts_are_pruned() {
     // Guards against unbounded memory use in an entry that runs for weeks. Parts whose
--- a/crates/bilberry-steward/src/run_progress.rs
+++ b/crates/bilberry-steward/src/run_progress.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Mutex;
 
+use bilberry_core::ObservedRun;
 use bilberry_core::RunProgress;
 use bilberry_core::UnixMs;
 use bilberry_wire::RunQuery;
@@ -16,12 +17,14 @@
 }
 
 impl RunTracker {
-    /// Records a report; one without runs discards what is known.
+    /// Records a report; one that does not list its runs discards what is known.
     ///
     /// Returns whether the engine is stalled.
     pub(crate) fn record(&self, report: &EngineReport, now: UnixMs) -> bool {
         let mut progress = self.progress.lock().unwrap();
-        let Some(runs) = &report.runs else {
+        let is_listed =
+            |runs: &&Vec<ObservedRun>| !runs.is_empty() || report.running == 0;
+        let Some(runs) = report.runs.as_ref().filter(is_listed) else {
             progress.reset();
             return false;
         };
