--- a/crates/bilberryctl/src/explain.rs
+++ b/crates/bilberryctl/src/explain.rs
@@ -114,6 +114,7 @@
     let upstream = other.text("upstream");
     let is_related = match other.target.as_str() {
         "request" => false,
+        "stream" => other.text("request") == own.text("request"),
         // Sidecars don't log the name of their engine. Lines about engine state are
         // rare, so include all of them.
         "engine" => true,
--- a/crates/bilberryctl/src/losses.rs
+++ b/crates/bilberryctl/src/losses.rs
@@ -16,6 +16,9 @@
 /// The maximum number of groups in a table.
 const MAX_ROWS: usize = 40;
 
+/// The detail of a request whose slow run the entry waited for.
+const SLOW: &str = "slow, waited on";
+
 /// Requests of one time window with the same route, cause and server.
 #[derive(Debug, Serialize)]
 struct Group {
@@ -108,6 +111,7 @@
         line.number("shared_tokens").saturating_sub(line.number("supplied_tokens"));
     let late = match () {
         _ if line.number("sends") > 1 => format!("sent again{why}"),
+        _ if detail == SLOW => "slow at its server, waited on".to_string(),
         _ if waited_ms * 2 >= first_byte_ms && for_parts_ms * 2 >= waited_ms => {
             "waited for parts that others read".to_string()
         }
--- a/crates/bilberryctl/tests/logs.rs
+++ b/crates/bilberryctl/tests/logs.rs
@@ -29,6 +29,32 @@
     insta::assert_snapshot!(run(&["losses", "--logs", "entry-1.log", "entry-2.log"]));
 }
 
+#[test]
+fn requests_of_slow_and_stalled_engines_are_grouped_by_cause() {
+    // A request that was waited for and still in time must not appear.
+    insta::assert_snapshot!(run(&["losses", "--logs", "entry-3.log"]), @"
+    FROM_S  REQUESTS  ROUTE   CAUSE                                   SERVER  SUCH AS
+    0       1         checks  late, sent again: lost: engine stalled  e1      s2
+    0       1         checks  late, slow at its server, waited on     e1      s1
+    2       1         checks  broken: lost: run idle at its engine    e1      s4
+    ");
+}
+
+#[test]
+fn a_request_is_followed_from_a_stalled_engine_to_another() {
+    // Lines about streams of other requests must not appear.
+    let files = ["explain", "--logs", "entry-3.log", "side-2.log"];
+    insta::assert_snapshot!(run(&[&files[..], &["s2"]].concat()), @"
+    SECONDS  PROCESS  WHAT
+    +0.000   entry-3  arrives on route checks
+    +0.000   entry-3  is sent 2 times, to e2,e1; 0 of 0 shared tokens supplied
+    +0.990   side-2   engine runs make no progress
+    +1.000   entry-3  stream e2 silent run is lost
+    +1.500   entry-3  gets its first event, 1500 ms after its arrival (target 400)
+    +2.600   entry-3  ends: served (late, sent again: lost: engine stalled)
+    ");
+}
+
 #[test]
 fn programs_get_json() {
     let text = run(&["--json", "losses", "--logs", "entry-2.log", "--window", "10"]);
