Ask early about a run that probes a stalled engine

Such a run got no report of a new stall, so a request of a route with a long target stayed at the engine for the whole timeout, which is longer than its caller waits.

--- a/crates/bilberry-gateway/src/run_query.rs
+++ b/crates/bilberry-gateway/src/run_query.rs
@@ -9,6 +9,7 @@
 use bilberry_core::LossReason;
 use bilberry_core::Name;
 use bilberry_core::RunStatus;
+use bilberry_core::STALL_MS;
 use bilberry_core::SilenceVerdict;
 use bilberry_core::StreamTargets;
 use bilberry_core::judge_silence;
@@ -43,6 +44,11 @@
 /// A run that is lost later must be resumed before its caller gives up.
 const QUERY_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The silence after which a run at a stalled engine is queried about.
+///
+/// Such a run is a probe; its caller must be served by another engine before it gives up.
+const PROBE_SILENCE: Duration = Duration::from_millis(STALL_MS);
+
 /// The detail in the request log of a request whose slow run was waited for.
 pub(crate) const SLOW: &str = "slow, waited on";
 
@@ -104,7 +110,8 @@
     /// Waits until a silent run is given up.
     ///
     /// The sidecar is queried once the run has been silent for the longest time allowed,
-    /// and at once if it reports that the engine has stalled.
+    /// and at once if it reports that the engine has stalled. A run at an engine that has
+    /// stalled already is queried about earlier.
     pub(crate) async fn wait_until_given_up(
         &self,
         context: &RequestContext,
@@ -117,7 +124,10 @@
         }
         let silent_since = Instant::now();
         let mut stalls = upstream.subscribe_to_stalls();
-        let mut next_query_in = max_silence;
+        let mut next_query_in = match upstream.is_stalled() {
+            true => max_silence.min(PROBE_SILENCE),
+            false => max_silence,
+        };
         loop {
             tokio::select! {
                 _ = sleep(next_query_in) => {}
@@ -135,6 +145,7 @@
                     next_query_in = QUERY_INTERVAL;
                 }
                 None if is_overdue => return GivenUp::TimedOut,
+                _ if upstream.is_stalled() => next_query_in = QUERY_INTERVAL,
                 _ => next_query_in = max_silence.saturating_sub(silent),
             }
         }
