--- a/crates/bilberry-core/tests/engine_queue.rs
+++ b/crates/bilberry-core/tests/engine_queue.rs
@@ -280,11 +280,13 @@
     assert!(is_queued(queue.request(id(2), low, at(0))));
     let mut outstanding = vec![1];
     for call in 10..40 {
-        queue.request(id(call), long(ALLOWANCE, call), at(call));
+        // The time in which a prompt of this length is prefilled.
+        let ms = (call - 9) * 200;
+        queue.request(id(call), long(ALLOWANCE, ms), at(ms));
         for done in std::mem::take(&mut outstanding) {
-            prefill(&mut queue, done, call);
+            prefill(&mut queue, done, ms);
         }
-        outstanding = admitted(&mut queue, call);
+        outstanding = admitted(&mut queue, ms);
         if outstanding.contains(&2) {
             return;
         }
@@ -292,6 +294,79 @@
     panic!("the request of low priority was not admitted");
 }
 
+#[test]
+fn a_long_prompt_is_admitted_although_short_ones_never_pause() {
+    // Guards against a prompt above the allowance that waits for an engine without work.
+    let mut queue = queue();
+    let mut outstanding = Vec::from_iter(1..=3);
+    for call in 1..=3 {
+        let decision = queue.request(id(call), short(800, 0), at(0));
+        assert_eq!(decision, Admission::Admitted);
+    }
+    assert!(is_queued(queue.request(id(9), long(2 * ALLOWANCE, 0), at(0))));
+    for ms in (20..8_000).step_by(20) {
+        // One of three short prompts has been prefilled, and the next one arrives.
+        prefill(&mut queue, outstanding.remove(0), ms);
+        let call = 100 + ms;
+        let decision = queue.request(id(call), short(800, ms), at(ms));
+        let others = admitted(&mut queue, ms);
+        if others.contains(&9) {
+            assert!(ms >= 1_000, "{ms}");
+            return;
+        }
+        assert_eq!(decision, Admission::Admitted, "{ms}");
+        outstanding.push(call);
+    }
+    panic!("the long prompt was not admitted");
+}
+
+#[test]
+fn a_customer_is_not_charged_for_what_was_rejected_or_left() {
+    let mut queue = busy_queue();
+    for call in 10..20 {
+        let terms = of("customer-b", long(ALLOWANCE, 0));
+        queue.request(id(call), AdmissionTerms { start_by: at(0), ..terms }, at(0));
+        let terms = of("customer-b", long(ALLOWANCE, 0));
+        assert!(is_queued(queue.request(id(call), terms, at(0))));
+        queue.end(id(call), at(0));
+    }
+    for (call, customer) in [(30, "customer-c"), (31, "customer-b"), (32, "customer-c")] {
+        let terms = of(customer, long(ALLOWANCE, 0));
+        assert!(is_queued(queue.request(id(call), terms, at(0))));
+    }
+    let mut order = vec![1];
+    for (ms, index) in [(200, 0), (400, 1), (600, 2)] {
+        prefill(&mut queue, order[index], ms);
+        order.extend(admitted(&mut queue, ms));
+    }
+    assert_eq!(order, [1, 30, 31, 32]);
+}
+
+#[test]
+fn a_request_served_ahead_of_its_order_does_not_put_newcomers_behind_others() {
+    // Guards against a virtual time that jumps with small requests that fit earlier.
+    let mut queue = busy_queue();
+    for call in 10..13 {
+        let terms = of("customer-b", long(ALLOWANCE, 0));
+        assert!(is_queued(queue.request(id(call), terms, at(0))));
+    }
+    // It has the highest tag, and fits as soon as the prompt in front is shorter.
+    assert!(is_queued(queue.request(id(13), of("customer-b", long(100, 0)), at(0))));
+    prefill(&mut queue, 1, 200);
+    assert_eq!(admitted(&mut queue, 200), [10]);
+    prefill(&mut queue, 10, 400);
+    let urgent = of("customer-c", short(2_000, 400));
+    assert_eq!(queue.request(id(14), urgent, at(400)), Admission::Admitted);
+    assert_eq!(admitted(&mut queue, 400), [13]);
+    let newcomer = of("customer-d", long(ALLOWANCE, 400));
+    assert!(is_queued(queue.request(id(15), newcomer, at(400))));
+    prefill(&mut queue, 14, 450);
+    prefill(&mut queue, 13, 455);
+    assert_eq!(admitted(&mut queue, 455), [11]);
+    prefill(&mut queue, 11, 655);
+    assert_eq!(admitted(&mut queue, 655), [15]);
+}
+
 #[test]
 fn a_request_that_can_not_be_admitted_in_time_is_rejected_at_once() {
     let mut queue = busy_queue();
