--- a/crates/bilberry-gateway/src/admission.rs
+++ b/crates/bilberry-gateway/src/admission.rs
@@ -207,14 +207,17 @@
 }
 
 impl<D: Dialect, C: Clock> Gateway<D, C> {
-    /// Asks the sidecar of the chosen upstream to admit the request, and waits in its
-    /// queue until `until` at the latest.
+    /// Asks the sidecar of the chosen upstream to admit the request if it decides on
+    /// admissions, and waits in its queue until `until` at the latest.
     pub(crate) async fn request_admission(
         &self,
         context: &mut RequestContext,
         choice: &Placement,
         until: UnixMs,
     ) -> AdmissionResult {
+        if !choice.asks_admission {
+            return AdmissionResult::Unneeded;
+        }
         let began = self.clock.now();
         let mut is_queued = false;
         let result = self.await_admission(context, choice, until, &mut is_queued).await;
--- a/crates/bilberry-gateway/src/placement.rs
+++ b/crates/bilberry-gateway/src/placement.rs
@@ -69,24 +69,21 @@
             if let Some(choice) = choice {
                 let Some(wait_until) = self.prefill_wait_deadline(context, &choice)
                 else {
-                    let result = match choice.asks_admission {
-                        true => self.request_admission(context, &choice, until).await,
-                        false => AdmissionResult::Unneeded,
-                    };
-                    let admission = match result {
-                        AdmissionResult::Unneeded => None,
-                        AdmissionResult::Admitted(guard) => Some(guard),
-                        other => {
-                            attempts.record(&choice.upstream, &other);
-                            if let Err(refusal) = self.check_quarantine(context) {
-                                break Err(refusal);
+                    let admission =
+                        match self.request_admission(context, &choice, until).await {
+                            AdmissionResult::Unneeded => None,
+                            AdmissionResult::Admitted(guard) => Some(guard),
+                            other => {
+                                attempts.record(&choice.upstream, &other);
+                                if let Err(refusal) = self.check_quarantine(context) {
+                                    break Err(refusal);
+                                }
+                                if until.has_passed_at(self.clock.now()) {
+                                    break Err(Refusal::NoCapacity);
+                                }
+                                continue;
                             }
-                            if until.has_passed_at(self.clock.now()) {
-                                break Err(Refusal::NoCapacity);
-                            }
-                            continue;
-                        }
-                    };
+                        };
                     let upstream = &choice.upstream;
                     let is_admitted = admission.is_some();
                     if self.acquire_permit(context, upstream, is_admitted).await {
