State the targets of the service with each admission request

A sidecar derived the shortest target of its service from the time that requests had left. A late request that was placed again shortened it to a tenth of a second, so that one prompt at a time was admitted and short requests queued for seconds (median 1.6 s in the worst seconds of a surge); a sidecar without a recent short request admitted long prompts without bound. The configuration states the targets, so each request carries them.

--- a/crates/bilberry-core/src/competing_routes.rs
+++ b/crates/bilberry-core/src/competing_routes.rs
@@ -12,16 +12,23 @@
 /// target is then left for its prefill.
 const YIELDING_FACTOR: u64 = 2;
 
-/// The services some of whose requests can yield to others and still be in time.
+/// Returns whether a request yields to those with the shortest target of its service.
+pub fn yields(target_ms: u64, shortest_target_ms: u64) -> bool {
+    target_ms >= shortest_target_ms.saturating_mul(YIELDING_FACTOR)
+}
+
+/// Returns the services some of whose requests can yield to others and still be in time,
+/// with the shortest target latency of each.
 ///
-/// Each item is a service and the target latency of a route to it, in milliseconds.
+/// Each item of `targets` is a service and the target latency of a route to it, in
+/// milliseconds.
 pub fn pools_with_yielding_routes<'a>(
     targets: impl Iterator<Item = (&'a Name, u64)> + Clone,
-) -> impl Iterator<Item = &'a Name> {
+) -> impl Iterator<Item = (&'a Name, u64)> {
     let all = targets.clone();
     targets.filter_map(move |(pool, target_ms)| {
         let same_pool = all.clone().filter(|(other, _)| *other == pool);
         let shortest_ms = same_pool.map(|(_, other_ms)| other_ms).min()?;
-        (target_ms >= shortest_ms * YIELDING_FACTOR).then_some(pool)
+        yields(target_ms, shortest_ms).then_some((pool, shortest_ms))
     })
 }
--- a/crates/bilberry-core/src/engine_queue.rs
+++ b/crates/bilberry-core/src/engine_queue.rs
@@ -20,7 +20,6 @@
 use self::engine_room::EngineRoom;
 use self::fair_shares::FairShares;
 use self::prefill_pace::PrefillPace;
-use self::prefill_pace::ShortestTarget;
 pub use self::terms::Admission;
 pub use self::terms::AdmissionTerms;
 pub use self::terms::CallId;
@@ -43,6 +42,11 @@
 /// Callers behind more of them would wait longer than any answer is of use.
 const MAX_WAITING: usize = 256;
 
+/// The shortest target that is respected.
+///
+/// A route with a target that no engine can meet must not stop the prompts of all others.
+const MIN_TARGET_MS: u64 = 100;
+
 /// The shortest time after which a rejected caller should return.
 const MIN_RETRY_AFTER_MS: u64 = 100;
 
@@ -56,7 +60,8 @@
 pub struct EngineQueue {
     room: EngineRoom,
     pace: PrefillPace,
-    shortest_target: ShortestTarget,
+    /// The shortest target latency of the routes to the service, as last stated.
+    shortest_target_ms: Option<u64>,
     shares: FairShares,
     tickets: Tickets,
     waiting: BTreeMap<CallId, Waiting>,
@@ -79,7 +84,7 @@
         Self {
             room: EngineRoom::default(),
             pace: PrefillPace::new(),
-            shortest_target: ShortestTarget::default(),
+            shortest_target_ms: None,
             shares: FairShares::default(),
             tickets: Tickets::new(),
             waiting: BTreeMap::new(),
@@ -107,10 +112,10 @@
         }
         terms.prefill_tokens = terms.prefill_tokens.min(MAX_TOKENS);
         terms.memory_tokens = terms.memory_tokens.min(MAX_TOKENS);
-        self.shortest_target.record(terms.target_at.ms_since(now), now);
+        self.shortest_target_ms = Some(terms.shortest_target_ms.max(MIN_TARGET_MS));
         self.tickets.expire(now);
         if self.waiting.len() >= MAX_WAITING && !self.displace_for(&terms, now) {
-            let is_urgent = self.has_urgent_target(terms.target_at.ms_since(now));
+            let is_urgent = self.has_urgent_target(terms.target_ms);
             return self.issue_ticket(&terms, is_urgent, self.predicted_drain_ms(), now);
         }
         self.enqueue(id, terms, now);
@@ -149,9 +154,8 @@
     }
 
     /// Records what the engine reports.
-    pub fn record_engine(&mut self, capacity: EngineCapacity, now: UnixMs) {
+    pub fn record_engine(&mut self, capacity: EngineCapacity) {
         self.room.capacity = capacity;
-        self.shortest_target.advance(now);
     }
 
     /// Returns the decisions on waiting requests since the last call, in the order in which
--- a/crates/bilberry-core/src/engine_queue/order.rs
+++ b/crates/bilberry-core/src/engine_queue/order.rs
@@ -8,6 +8,7 @@
 use crate::AdmissionTerms;
 use crate::CallId;
 use crate::UnixMs;
+use crate::yields;
 
 /// The part of the shortest target for which prefill may be outstanding: one in this many.
 ///
@@ -25,11 +26,6 @@
 /// A caller with a long prompt is served although short ones never pause.
 const PRESSING_PART: u64 = 4;
 
-/// How many times the shortest target a target must be for its requests to yield.
-///
-/// A caller that yields has at least half of its target left for its own prefill.
-const YIELDING_FACTOR: u64 = 2;
-
 /// How many tokens go to the first in the order for each that goes to those passed over.
 ///
 /// Callers of low priority, and those whose target has passed, are still served.
@@ -115,17 +111,16 @@
     }
 
     fn shortest_target_ms(&self) -> u64 {
-        let waiting_ms = || self.waiting.values().map(Waiting::target_ms).min();
-        self.shortest_target.get_ms().or_else(waiting_ms).unwrap_or(u64::MAX)
+        self.shortest_target_ms.unwrap_or(u64::MAX)
     }
 
     pub(super) fn is_urgent(&self, waiting: &Waiting) -> bool {
-        self.has_urgent_target(waiting.target_ms())
+        self.has_urgent_target(waiting.terms.target_ms)
     }
 
     /// Returns whether a request with this target goes ahead of those that yield.
     pub(super) fn has_urgent_target(&self, target_ms: u64) -> bool {
-        target_ms < self.shortest_target_ms().saturating_mul(YIELDING_FACTOR)
+        !yields(target_ms, self.shortest_target_ms())
     }
 
     /// Returns whether a request can be admitted now.
--- a/crates/bilberry-core/src/engine_queue/prefill_pace.rs
+++ b/crates/bilberry-core/src/engine_queue/prefill_pace.rs
@@ -28,16 +28,6 @@
 /// prompts would be told a wait that is too long.
 const MIN_SAMPLE_TOKENS: u64 = 1_024;
 
-/// The time after which a target that isn't asked for any more is dropped.
-///
-/// Callers with the short target who pause for some seconds are in time when they return.
-const TARGET_WINDOW_MS: u64 = 10_000;
-
-/// The shortest target that is respected.
-///
-/// A caller whose time has nearly passed must not stop the prompts of all others.
-const MIN_TARGET_MS: u64 = 100;
-
 /// The admitted tokens over which the part of urgent requests is measured.
 ///
 /// Callers that yield are told a wait that includes the urgent requests of the next seconds.
@@ -119,36 +109,3 @@
         self.busy = (!is_idle).then_some((now, 0));
     }
 }
-
-/// The shortest target of the requests of the last seconds.
-#[derive(Debug, Default)]
-pub(super) struct ShortestTarget {
-    window_ends_at: UnixMs,
-    current_ms: Option<u64>,
-    previous_ms: Option<u64>,
-}
-
-impl ShortestTarget {
-    /// Records the time that a new request has left.
-    pub(super) fn record(&mut self, target_ms: u64, now: UnixMs) {
-        self.advance(now);
-        let target_ms = target_ms.max(MIN_TARGET_MS);
-        let shortest_ms = self.current_ms.map_or(target_ms, |ms| ms.min(target_ms));
-        self.current_ms = Some(shortest_ms);
-    }
-
-    /// Drops targets that weren't asked for lately.
-    pub(super) fn advance(&mut self, now: UnixMs) {
-        if !self.window_ends_at.has_passed_at(now) {
-            return;
-        }
-        let is_recent = now.ms_since(self.window_ends_at) < TARGET_WINDOW_MS;
-        self.previous_ms = self.current_ms.take().filter(|_| is_recent);
-        self.window_ends_at = now.plus_ms(TARGET_WINDOW_MS);
-    }
-
-    /// Returns the shortest target, if there was a request lately.
-    pub(super) fn get_ms(&self) -> Option<u64> {
-        self.current_ms.into_iter().chain(self.previous_ms).min()
-    }
-}
--- a/crates/bilberry-core/src/engine_queue/terms.rs
+++ b/crates/bilberry-core/src/engine_queue/terms.rs
@@ -40,6 +40,10 @@
     pub memory_tokens: u64,
     /// The key shared by all attempts of the request.
     pub key: RequestKey,
+    /// The target latency of its route.
+    pub target_ms: u64,
+    /// The shortest target latency of the routes to the engine's service.
+    pub shortest_target_ms: u64,
 }
 
 /// A decision on a request.
--- a/crates/bilberry-core/src/engine_queue/waiting.rs
+++ b/crates/bilberry-core/src/engine_queue/waiting.rs
@@ -66,11 +66,6 @@
         }
     }
 
-    /// Returns the time that it had left when it arrived.
-    pub(super) fn target_ms(&self) -> u64 {
-        self.terms.target_at.ms_since(self.arrived_at)
-    }
-
     /// Returns when others no longer pass it.
     pub(super) fn reserves_at(&self) -> UnixMs {
         self.after_part(RESERVE_AFTER_PART)
--- a/crates/bilberry-core/src/lib.rs
+++ b/crates/bilberry-core/src/lib.rs
@@ -63,6 +63,7 @@
 pub use claim::RecordedAnswer;
 pub use claim::RepeatVerdict;
 pub use competing_routes::pools_with_yielding_routes;
+pub use competing_routes::yields;
 pub use crash_ledger::CompletedRequests;
 pub use crash_ledger::CrashLedger;
 pub use crash_ledger::CrashReport;
--- a/crates/bilberry-core/tests/engine_queue.rs
+++ b/crates/bilberry-core/tests/engine_queue.rs
@@ -36,13 +36,20 @@
         prefill_tokens: tokens,
         memory_tokens: tokens,
         key: RequestKey(0),
+        target_ms: LONG_TARGET_MS,
+        shortest_target_ms: SHORT_TARGET_MS,
     }
 }
 
 /// A request with a short target that arrives at `ms`.
 fn short(tokens: u64, ms: u64) -> AdmissionTerms {
     let target_at = at(ms + SHORT_TARGET_MS);
-    AdmissionTerms { target_at, start_by: at(ms + 2_000), ..long(tokens, ms) }
+    AdmissionTerms {
+        target_at,
+        start_by: at(ms + 2_000),
+        target_ms: SHORT_TARGET_MS,
+        ..long(tokens, ms)
+    }
 }
 
 fn of(customer: &str, terms: AdmissionTerms) -> AdmissionTerms {
@@ -156,7 +163,7 @@
         EngineCapacity { slots: 3, total_tokens: 1_000, used_tokens: 300, running: 1 };
     let terms = |tokens: u64| AdmissionTerms { memory_tokens: tokens, ..long(10, 0) };
     let mut queue = queue();
-    queue.record_engine(capacity, at(0));
+    queue.record_engine(capacity);
     assert!(is_rejected(queue.request(id(1), terms(1_001), at(0))));
     assert!(is_queued(queue.request(id(2), terms(701), at(0))));
     assert_eq!(queue.request(id(3), terms(300), at(0)), Admission::Admitted);
@@ -178,7 +185,7 @@
         used_tokens: 990,
         ..EngineCapacity::default()
     };
-    queue.record_engine(capacity, at(0));
+    queue.record_engine(capacity);
     assert_eq!(queue.request(id(1), long(100, 0), at(0)), Admission::Admitted);
     assert!(is_queued(queue.request(id(2), long(100, 0), at(0))));
     queue.end(id(1), at(10));
@@ -239,7 +246,7 @@
     let mut queue = queue();
     let capacity =
         EngineCapacity { total_tokens: 1_000, running: 1, ..EngineCapacity::default() };
-    queue.record_engine(capacity, at(0));
+    queue.record_engine(capacity);
     let small = |ms| AdmissionTerms { memory_tokens: 200, ..long(10, ms) };
     let large = AdmissionTerms { memory_tokens: 900, ..long(10, 0) };
     for call in 1..=3 {
@@ -617,7 +624,7 @@
             used_tokens,
             running,
         };
-        queue.record_engine(engine(0, 0), now);
+        queue.record_engine(engine(0, 0));
         for (call, step) in steps.into_iter().enumerate() {
             let nth = |index: usize| {
                 let all = model.admitted.keys().chain(model.waiting.keys());
@@ -652,12 +659,12 @@
                     model.waiting.retain(|id, _| id.connection != connection);
                 }
                 Step::Engine { used_tokens, running } => {
-                    queue.record_engine(engine(used_tokens, running), now);
+                    queue.record_engine(engine(used_tokens, running));
                 }
                 Step::Reset => {
                     queue.reset();
                     model.admitted.clear();
-                    queue.record_engine(engine(0, 0), now);
+                    queue.record_engine(engine(0, 0));
                 }
                 Step::Wait(ms) => now = now.plus_ms(ms),
             }
--- a/crates/bilberry-core/tests/engine_queue_replay.rs
+++ b/crates/bilberry-core/tests/engine_queue_replay.rs
@@ -31,7 +31,7 @@
     fn request(&mut self, id: CallId, terms: AdmissionTerms, now: UnixMs) -> Admission;
     fn mark_prefilled(&mut self, id: CallId, now: UnixMs);
     fn end(&mut self, id: CallId, now: UnixMs);
-    fn record_engine(&mut self, capacity: EngineCapacity, now: UnixMs);
+    fn record_engine(&mut self, capacity: EngineCapacity);
     fn next_decisions(&mut self, now: UnixMs) -> Vec<(CallId, Admission)>;
 }
 
@@ -48,8 +48,8 @@
         self.end(id, now);
     }
 
-    fn record_engine(&mut self, capacity: EngineCapacity, now: UnixMs) {
-        self.record_engine(capacity, now);
+    fn record_engine(&mut self, capacity: EngineCapacity) {
+        self.record_engine(capacity);
     }
 
     fn next_decisions(&mut self, now: UnixMs) -> Vec<(CallId, Admission)> {
@@ -91,7 +91,7 @@
         self.admitted.remove(&id);
     }
 
-    fn record_engine(&mut self, _: EngineCapacity, _: UnixMs) {}
+    fn record_engine(&mut self, _: EngineCapacity) {}
 
     fn next_decisions(&mut self, now: UnixMs) -> Vec<(CallId, Admission)> {
         let mut decided = Vec::new();
@@ -234,6 +234,8 @@
                 prefill_tokens: tokens,
                 memory_tokens: tokens + 400,
                 key: RequestKey(key),
+                target_ms,
+                shortest_target_ms: SHORT_TARGET_MS,
             };
             arrivals.entry(ms).or_default().push(Attempt {
                 terms,
@@ -266,7 +268,7 @@
             decisions.end(id, now);
         }
         if ms % 40 == 1 {
-            decisions.record_engine(engine.capacity(), now);
+            decisions.record_engine(engine.capacity());
         }
         let mut decided = match has_changed {
             true => decisions.next_decisions(now),
--- a/crates/bilberry-gateway/src/admission.rs
+++ b/crates/bilberry-gateway/src/admission.rs
@@ -319,6 +319,10 @@
             memory_tokens: choice.demand.memory_tokens(),
             slots: choice.upstream.slots(),
             key: context.key.0,
+            target_ms: context.route.target_ms,
+            shortest_target_ms: self
+                .shortest_target_ms(&context.pool.name)
+                .unwrap_or(context.route.target_ms),
         }
     }
 
--- a/crates/bilberry-gateway/src/policy.rs
+++ b/crates/bilberry-gateway/src/policy.rs
@@ -1,7 +1,6 @@
 //! The operators' configuration in the form that a running entry uses.
 
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -18,8 +17,9 @@
     pub routes: HashMap<Name, Vec<Arc<Route>>>,
     /// The services that routes refer to.
     pub pools: HashMap<Name, Arc<Pool>>,
-    /// The services that order the requests which compete for them.
-    pub ordered_pools: HashSet<Name>,
+    /// The services that order the requests which compete for them, with the shortest
+    /// target latency of each, in milliseconds.
+    pub ordered_pools: HashMap<Name, u64>,
     /// The customer of each API key; `None` if requests need no key.
     pub customers: Option<HashMap<Name, Arc<Customer>>>,
     /// The limits on callers.
@@ -183,18 +183,20 @@
 
 impl Policy {
     /// Returns the services of engines some of whose requests can yield to others and
-    /// still be in time.
+    /// still be in time, with the shortest target latency of each.
     pub fn ordered_pools(
         routes: &HashMap<Name, Vec<Arc<Route>>>,
         pools: &HashMap<Name, Arc<Pool>>,
-    ) -> HashSet<Name> {
+    ) -> HashMap<Name, u64> {
         let routes = || routes.values().flatten();
         let targets = routes().flat_map(|route| {
             route.targets.iter().map(|(pool, _)| (pool, route.target_ms))
         });
         let is_engine =
-            |pool: &&Name| pools.get(*pool).is_some_and(|pool| pool.engine.is_some());
-        pools_with_yielding_routes(targets).filter(is_engine).cloned().collect()
+            |pool: &Name| pools.get(pool).is_some_and(|pool| pool.engine.is_some());
+        let ordered = pools_with_yielding_routes(targets);
+        let ordered = ordered.filter(|(pool, _)| is_engine(pool));
+        ordered.map(|(pool, shortest_ms)| (pool.clone(), shortest_ms)).collect()
     }
 
     /// Returns the route with the longest prefix of `path`.
--- a/crates/bilberry-gateway/src/run_observation.rs
+++ b/crates/bilberry-gateway/src/run_observation.rs
@@ -50,7 +50,13 @@
 
     /// Reports whether a service orders the requests that compete for it.
     pub(crate) fn is_ordered(&self, pool: &str) -> bool {
-        self.policy().is_some_and(|policy| policy.ordered_pools.contains(pool))
+        self.shortest_target_ms(pool).is_some()
+    }
+
+    /// Returns the shortest target latency of the routes to a service, if it orders the
+    /// requests which compete for it.
+    pub(crate) fn shortest_target_ms(&self, pool: &str) -> Option<u64> {
+        self.policy()?.ordered_pools.get(pool).copied()
     }
 
     /// Reports whether this entry uses what sidecars observe of their engines' runs.
--- a/crates/bilberry-steward/src/admission.rs
+++ b/crates/bilberry-steward/src/admission.rs
@@ -222,7 +222,7 @@
             used_tokens: upstream.used_tokens,
             running: upstream.running,
         };
-        self.queue.record_engine(self.engine, now);
+        self.queue.record_engine(self.engine);
     }
 
     /// Returns whether the engine was started again; its cache's epoch tells it for engines
@@ -250,7 +250,7 @@
         }
         if request.slots > 0 && request.slots != self.engine.slots {
             self.engine.slots = request.slots;
-            self.queue.record_engine(self.engine, now);
+            self.queue.record_engine(self.engine);
         }
         let terms = AdmissionTerms {
             customer: Name::from(request.customer.as_str()),
@@ -260,6 +260,8 @@
             prefill_tokens: request.prefill_tokens,
             memory_tokens: request.memory_tokens,
             key: RequestKey(request.key),
+            target_ms: request.target_ms,
+            shortest_target_ms: request.shortest_target_ms,
         };
         self.queue.request(id, terms, now)
     }
--- a/crates/bilberry-wire/src/admission.rs
+++ b/crates/bilberry-wire/src/admission.rs
@@ -30,6 +30,12 @@
     /// The key shared by all attempts of the request.
     #[prost(fixed64, tag = "8")]
     pub key: u64,
+    /// The target latency of the route.
+    #[prost(uint64, tag = "9")]
+    pub target_ms: u64,
+    /// The shortest target latency of the routes to the engine's service.
+    #[prost(uint64, tag = "10")]
+    pub shortest_target_ms: u64,
 }
 
 /// The decision on an [`AdmissionRequest`]; a queued request gets a second one later.
