Leave room for newcomers beside callers that return with a ticket

Returns are now booked for half of the time. A request that has waited a part of its time, or has returned, is no longer passed by those behind it when it lacks nothing but prefill; that no longer depends on which request memory is kept for.

--- a/crates/bilberry-core/src/engine_queue/order.rs
+++ b/crates/bilberry-core/src/engine_queue/order.rs
@@ -132,7 +132,6 @@
     fn fits(&self, waiting: &Waiting, now: UnixMs) -> bool {
         self.room.has_room(waiting.id, waiting.terms.memory_tokens)
             && self.fits_prefill(waiting, now)
-            && !self.delays_reserved(waiting)
     }
 
     fn fits_prefill(&self, waiting: &Waiting, now: UnixMs) -> bool {
@@ -147,17 +146,6 @@
             || (outstanding <= allowance && self.is_urgent(waiting))
     }
 
-    /// Returns whether a request that yields would delay the prefill of the reserved one.
-    fn delays_reserved(&self, waiting: &Waiting) -> bool {
-        let reserved = self.room.reserved().filter(|id| *id != waiting.id);
-        let Some(reserved) = reserved.and_then(|id| self.waiting.get(&id)) else {
-            return false;
-        };
-        !self.is_urgent(waiting)
-            && waiting.terms.priority >= reserved.terms.priority
-            && self.room.has_room(reserved.id, reserved.terms.memory_tokens)
-    }
-
     /// Keeps room for the next request if it lacks room and has waited a part of its time.
     fn update_reservation(&mut self, order: &[Ordered], now: UnixMs) {
         let Some(first) = order.first().filter(|_| self.room.reserved().is_none()) else {
@@ -167,7 +155,8 @@
         let next = [passed_over, Some(*first)].into_iter().flatten();
         let next = next.filter_map(|ordered| self.waiting.get(&ordered.id));
         let is_due = |waiting: &&Waiting| {
-            waiting.reserves_at().has_passed_at(now) && !self.fits(waiting, now)
+            waiting.reserves_at().has_passed_at(now)
+                && !self.room.has_room(waiting.id, waiting.terms.memory_tokens)
         };
         let wanted = next.filter(is_due).map(|w| (w.id, w.terms.memory_tokens)).next();
         if wanted.is_some() {
@@ -176,17 +165,27 @@
     }
 
     /// Returns the next request that fits.
+    ///
+    /// Those that yield don't pass one that has waited a part of its time and lacks nothing
+    /// but prefill, as the outstanding prefill would never be little enough for it.
     fn next_to_admit(&self, order: &[Ordered], now: UnixMs) -> Option<Ordered> {
-        let fits = |ordered: &Ordered| {
-            self.waiting.get(&ordered.id).is_some_and(|waiting| self.fits(waiting, now))
-        };
         let passed_over = self.due_passed_over(order.first()?.class, order);
         // Short prompts delay it little, so they go first until its part is exceeded.
         let is_exceeded = passed_over.is_some_and(|oldest| {
             self.passed_over_tokens >= self.passed_over_limit(oldest.id)
         });
         let urgent = order.iter().take_while(|o| !o.class.yields && !is_exceeded);
-        urgent.copied().chain(passed_over).chain(order.iter().copied()).find(fits)
+        let candidates = urgent.chain(&passed_over).chain(order);
+        let mut may_pass = true;
+        for ordered in candidates {
+            let Some(waiting) = self.waiting.get(&ordered.id) else { continue };
+            if (may_pass || !ordered.class.yields) && self.fits(waiting, now) {
+                return Some(*ordered);
+            }
+            may_pass &= !waiting.reserves_at().has_passed_at(now)
+                || !self.room.has_room(waiting.id, waiting.terms.memory_tokens);
+        }
+        None
     }
 
     /// Returns the most tokens that are saved for a request that was passed over.
--- a/crates/bilberry-core/src/engine_queue/tickets.rs
+++ b/crates/bilberry-core/src/engine_queue/tickets.rs
@@ -22,6 +22,11 @@
 /// Newcomers are not kept out for callers that don't return.
 const RETURN_WEIGHT: f64 = 0.1;
 
+/// The part of the time that callers are told to return in: one in this many.
+///
+/// Callers that ask for the first time, of customers that were not rejected, need the rest.
+const BOOKED_PART: f64 = 2.0;
+
 /// When rejected callers should return, and with which prefill.
 #[derive(Debug)]
 pub(super) struct Tickets {
@@ -60,7 +65,7 @@
         latest: UnixMs,
     ) -> UnixMs {
         let return_at = self.booked_until.clamp(earliest, latest);
-        let booked_ms = (prefill_ms as f64 * self.return_ratio) as u64;
+        let booked_ms = (prefill_ms as f64 * self.return_ratio * BOOKED_PART) as u64;
         self.booked_until = return_at.plus_ms(booked_ms);
         return_at
     }
--- a/crates/bilberry-core/src/engine_queue/waiting.rs
+++ b/crates/bilberry-core/src/engine_queue/waiting.rs
@@ -72,8 +72,13 @@
     }
 
     /// Returns when others no longer pass it.
+    ///
+    /// A caller that has returned when told has waited before.
     pub(super) fn reserves_at(&self) -> UnixMs {
-        self.after_part(RESERVE_AFTER_PART)
+        match self.has_ticket {
+            true => self.arrived_at,
+            false => self.after_part(RESERVE_AFTER_PART),
+        }
     }
 
     /// Returns when it goes ahead although some prefill is outstanding.
