Keep a part of the engine for long prompts in a flood of short ones

The part for those passed over came due, but urgent requests kept the outstanding prefill above what a long prompt may follow, and the predicted wait counted the urgent part twice. A request whose part is exceeded is now admitted like an urgent one, and the prediction counts the part once.

Two more replays, of this flood and of an engine without enough memory.

--- a/crates/bilberry-core/src/engine_queue/order.rs
+++ b/crates/bilberry-core/src/engine_queue/order.rs
@@ -134,6 +134,15 @@
             && self.fits_prefill(waiting, now)
     }
 
+    /// Returns whether a request whose part is exceeded can be admitted now.
+    ///
+    /// Urgent requests that never pause keep the outstanding prefill close to the allowance.
+    fn fits_exceeded(&self, id: CallId) -> bool {
+        let Some(waiting) = self.waiting.get(&id) else { return false };
+        self.room.has_room(id, waiting.terms.memory_tokens)
+            && self.room.outstanding_tokens() <= self.allowance_tokens()
+    }
+
     fn fits_prefill(&self, waiting: &Waiting, now: UnixMs) -> bool {
         let outstanding = self.room.outstanding_tokens();
         let allowance = self.allowance_tokens();
@@ -175,6 +184,11 @@
             self.passed_over_tokens >= self.passed_over_limit(oldest.id)
         });
         let urgent = order.iter().take_while(|o| !o.class.yields && !is_exceeded);
+        if let Some(oldest) = passed_over.filter(|_| is_exceeded)
+            && self.fits_exceeded(oldest.id)
+        {
+            return Some(oldest);
+        }
         let candidates = urgent.chain(&passed_over).chain(order);
         let mut may_pass = true;
         for ordered in candidates {
@@ -279,8 +293,14 @@
         for ordered in order {
             let Some(waiting) = self.waiting.get(&ordered.id) else { continue };
             let is_urgent = self.is_urgent(waiting);
-            let in_order = if is_urgent { urgent_ahead } else { ahead };
-            let mut wait_ms = self.predicted_wait_ms(waiting, in_order, is_urgent);
+            let mut wait_ms = match is_urgent {
+                true => self.predicted_wait_ms(waiting, urgent_ahead, |tokens| {
+                    self.pace.time_ms(tokens)
+                }),
+                false => self.predicted_wait_ms(waiting, ahead, |tokens| {
+                    self.pace.yielding_time_ms(tokens)
+                }),
+            };
             if !is_urgent && !waiting.has_ticket {
                 let tokens = returning.tokens_until(now.plus_ms(wait_ms));
                 wait_ms += self.pace.yielding_time_ms(tokens);
@@ -297,19 +317,21 @@
         }
     }
 
-    fn predicted_wait_ms(&self, waiting: &Waiting, ahead: Ahead, is_urgent: bool) -> u64 {
+    /// Predicts the wait behind `ahead`; `time_ms` is the time for a number of prompt tokens.
+    fn predicted_wait_ms(
+        &self,
+        waiting: &Waiting,
+        ahead: Ahead,
+        time_ms: impl Fn(u64) -> u64,
+    ) -> u64 {
         let AdmissionTerms { prefill_tokens, memory_tokens, .. } = waiting.terms;
         let allowance = self.allowance_tokens();
-        let may_remain = match is_urgent {
+        let may_remain = match self.is_urgent(waiting) {
             true => allowance,
             false => allowance.saturating_sub(prefill_tokens),
         };
         let tokens = self.room.outstanding_tokens() + ahead.prefill_tokens;
-        let tokens = tokens.saturating_sub(may_remain);
-        let prefill_ms = match is_urgent {
-            true => self.pace.time_ms(tokens),
-            false => self.pace.yielding_time_ms(tokens),
-        };
+        let prefill_ms = time_ms(tokens.saturating_sub(may_remain));
         let memory_tokens = ahead.memory_tokens + memory_tokens;
         let room_ms = self.room.predicted_wait_ms(ahead.requests + 1, memory_tokens);
         prefill_ms.max(room_ms)
@@ -330,8 +352,10 @@
         let mut waits = BTreeMap::new();
         for waiting in lower {
             let share = TOKENS_PER_PASSED_OVER_TOKEN + 1;
-            let wait_ms = self.predicted_wait_ms(waiting, ahead, false);
-            waits.insert(waiting.id, wait_ms.saturating_mul(share));
+            let wait_ms = self.predicted_wait_ms(waiting, ahead, |tokens| {
+                self.pace.time_ms(tokens).saturating_mul(share)
+            });
+            waits.insert(waiting.id, wait_ms);
             ahead.add(waiting);
         }
         waits
--- a/crates/bilberry-core/tests/engine_queue.rs
+++ b/crates/bilberry-core/tests/engine_queue.rs
@@ -249,8 +249,7 @@
     assert_eq!(queue.request(id(4), small(0), at(0)), Admission::Admitted);
     // A small request replaces each that ends, until the large one is admitted.
     let mut running = vec![1, 2, 3, 4];
-    let mut next_call = 100;
-    for ms in (500..8_000).step_by(500) {
+    for (next_call, ms) in (100..).zip((500..8_000).step_by(500)) {
         let Some(ended) = (!running.is_empty()).then(|| running.remove(0)) else { break };
         prefill(&mut queue, ended, ms);
         queue.end(id(ended), at(ms));
@@ -262,7 +261,6 @@
         if queue.request(id(next_call), small(ms), at(ms)) == Admission::Admitted {
             running.push(next_call);
         }
-        next_call += 1;
     }
     panic!("the large request was not admitted");
 }
--- a/crates/bilberry-core/tests/engine_queue_replay.rs
+++ b/crates/bilberry-core/tests/engine_queue_replay.rs
@@ -58,17 +58,22 @@
 }
 
 /// Admits in order of arrival whatever has memory and a slot.
-#[derive(Default)]
 struct FirstCome {
+    total_tokens: u64,
     waiting: VecDeque<(CallId, AdmissionTerms)>,
     admitted: BTreeMap<CallId, u64>,
 }
 
 impl FirstCome {
+    fn new(load: &Load) -> Self {
+        let total_tokens = load.total_tokens;
+        Self { total_tokens, waiting: VecDeque::new(), admitted: BTreeMap::new() }
+    }
+
     fn admits(&mut self, id: CallId, memory_tokens: u64) -> bool {
         let used: u64 = self.admitted.values().sum();
-        let fits =
-            used + memory_tokens <= TOTAL_TOKENS && (self.admitted.len() as u64) < SLOTS;
+        let fits = used + memory_tokens <= self.total_tokens
+            && (self.admitted.len() as u64) < SLOTS;
         if fits {
             self.admitted.insert(id, memory_tokens);
         }
@@ -133,6 +138,9 @@
     returns: bool,
     /// The part of the requests that has the lower priority.
     low_priority: f64,
+    total_tokens: u64,
+    /// How long a request holds its memory and slot after its prefill.
+    decode_ms: u64,
     seed: u64,
 }
 
@@ -144,6 +152,8 @@
             short_load: 0.15,
             returns: true,
             low_priority: 0.0,
+            total_tokens: TOTAL_TOKENS,
+            decode_ms: DECODE_MS,
             seed,
         }
     }
@@ -158,8 +168,8 @@
 
 impl FakeEngine {
     /// Advances by a millisecond; returns the completed prefills and the ended runs.
-    fn step(&mut self, tokens_per_ms: u64, now: UnixMs) -> (Vec<CallId>, Vec<CallId>) {
-        let mut left = tokens_per_ms;
+    fn step(&mut self, load: &Load, now: UnixMs) -> (Vec<CallId>, Vec<CallId>) {
+        let mut left = load.tokens_per_ms;
         let mut prefilled = Vec::new();
         while let Some((id, tokens, memory)) = self.prefilling.front_mut() {
             let done = left.min(*tokens);
@@ -169,7 +179,7 @@
                 break;
             }
             prefilled.push(*id);
-            self.running.insert(*id, (now.plus_ms(DECODE_MS), *memory));
+            self.running.insert(*id, (now.plus_ms(load.decode_ms), *memory));
             self.prefilling.pop_front();
         }
         let is_ended = |(ends_at, _): &(UnixMs, u64)| ends_at.has_passed_at(now);
@@ -179,12 +189,12 @@
         (prefilled, ended)
     }
 
-    fn capacity(&self) -> EngineCapacity {
+    fn capacity(&self, load: &Load) -> EngineCapacity {
         let prefilling = self.prefilling.iter().map(|(_, _, memory)| memory);
         let running = self.running.values().map(|(_, memory)| memory);
         EngineCapacity {
             slots: SLOTS,
-            total_tokens: TOTAL_TOKENS,
+            total_tokens: load.total_tokens,
             used_tokens: prefilling.chain(running).sum(),
             running: (self.prefilling.len() + self.running.len()) as u64,
         }
@@ -256,7 +266,7 @@
     let mut attempts: Vec<Attempt> = Vec::new();
     for ms in 1..SECONDS * 1_000 {
         let now = UnixMs(ms);
-        let (prefilled, ended) = engine.step(load.tokens_per_ms, now);
+        let (prefilled, ended) = engine.step(load, now);
         let has_changed = !prefilled.is_empty() || !ended.is_empty() || ms % 20 == 1;
         for id in prefilled {
             attempts[id.call as usize].prefilled_at = Some(now);
@@ -266,7 +276,7 @@
             decisions.end(id, now);
         }
         if ms % 40 == 1 {
-            decisions.record_engine(engine.capacity(), now);
+            decisions.record_engine(engine.capacity(load), now);
         }
         let mut decided = match has_changed {
             true => decisions.next_decisions(now),
@@ -291,8 +301,8 @@
                     let AdmissionTerms { prefill_tokens, memory_tokens, .. } =
                         attempt.terms;
                     engine.prefilling.push_back((id, prefill_tokens, memory_tokens));
-                    let capacity = engine.capacity();
-                    assert!(capacity.used_tokens <= TOTAL_TOKENS, "{capacity:?}");
+                    let capacity = engine.capacity(load);
+                    assert!(capacity.used_tokens <= load.total_tokens, "{capacity:?}");
                     assert!(capacity.running <= SLOTS, "{capacity:?}");
                 }
                 Admission::Rejected { retry_after_ms } => {
@@ -330,6 +340,8 @@
     short_in_time: f64,
     /// The prefilled tokens of long requests, in parts of the speed left by short ones.
     long_part: f64,
+    /// The prefilled tokens of long requests, in parts of the engine's speed.
+    long_of_engine: f64,
     /// The least prefill of a customer with long prompts, in parts of its fair share.
     least_share: f64,
     /// The least part of the requests of one size that was served.
@@ -404,6 +416,7 @@
     };
     Summary {
         short_in_time: part(&short, is_in_time),
+        long_of_engine: prefilled(&|attempt| !attempt.is_short) / speed,
         long_part: prefilled(&|attempt| !attempt.is_short) / left,
         least_share: received.fold(f64::MAX, f64::min),
         least_size: sizes.fold(f64::MAX, f64::min),
@@ -431,7 +444,7 @@
             let load = Load { tokens_per_ms, returns: false, ..Load::surge(seed) };
             let ordered = summarize(&replay(EngineQueue::new(), &load), &load);
             assert_served(&ordered, &load);
-            let first_come = summarize(&replay(FirstCome::default(), &load), &load);
+            let first_come = summarize(&replay(FirstCome::new(&load), &load), &load);
             assert!(first_come.short_in_time <= 0.5, "{load:?}: {first_come:?}");
             assert!(ordered.long_part >= first_come.long_part - 0.1, "{load:?}");
         }
@@ -463,3 +476,32 @@
         assert!(ordered.low_priority_admitted >= 0.1, "{load:?}: {ordered:?}");
     }
 }
+
+#[test]
+fn long_prompts_get_a_part_of_an_engine_flooded_with_short_ones() {
+    // Guards against short requests above the engine's speed that keep the outstanding
+    // prefill too high for any long prompt.
+    for seed in 0..2 {
+        let surge = Load { returns: false, decode_ms: 100, ..Load::surge(seed) };
+        let load = Load { short_load: 1.3, long_load: 0.7, ..surge };
+        let ordered = summarize(&replay(EngineQueue::new(), &load), &load);
+        assert!(ordered.long_of_engine >= 0.2, "{load:?}: {ordered:?}");
+        assert!(ordered.short_in_time >= 0.4, "{load:?}: {ordered:?}");
+        assert!(ordered.least_size >= 0.1, "{load:?}: {ordered:?}");
+    }
+}
+
+#[test]
+fn short_requests_are_in_time_at_an_engine_without_enough_memory() {
+    // Guards against memory that long requests take as soon as it is freed.
+    for seed in 0..SEEDS {
+        let load = Load { total_tokens: 60_000, returns: false, ..Load::surge(seed) };
+        let ordered = summarize(&replay(EngineQueue::new(), &load), &load);
+        assert!(ordered.short_in_time >= 0.95, "{load:?}: {ordered:?}");
+        assert!(ordered.least_size >= 0.05, "{load:?}: {ordered:?}");
+        assert!(ordered.least_share >= 0.25, "{load:?}: {ordered:?}");
+        let first_come = summarize(&replay(FirstCome::new(&load), &load), &load);
+        assert!(first_come.short_in_time <= 0.5, "{load:?}: {first_come:?}");
+        assert!(ordered.long_part >= 0.8 * first_come.long_part, "{load:?}");
+    }
+}
