--- a/crates/bilberry-steward/src/admission.rs
+++ b/crates/bilberry-steward/src/admission.rs
@@ -180,6 +180,7 @@
         let outstanding_tokens = state.queue.work_ahead().admitted_tokens;
         let prefill_token_ns = state.queue.us_per_token() * 1_000.0;
         self.metrics.waiting.set(state.queue.waiting_count() as i64);
+        self.metrics.admitted.set(state.queue.admitted_count() as i64);
         self.metrics.outstanding_tokens.set(outstanding_tokens as i64);
         self.metrics.prefill_token_ns.set(prefill_token_ns as i64);
     }
--- a/crates/bilberry-steward/src/metrics.rs
+++ b/crates/bilberry-steward/src/metrics.rs
@@ -36,6 +36,8 @@
     pub decisions: Family<AdmissionLabel, Counter>,
     /// Requests that wait for their admission.
     pub waiting: Gauge,
+    /// Requests that were admitted and have not ended.
+    pub admitted: Gauge,
     /// Prompt tokens of admitted requests that are not prefilled yet.
     pub outstanding_tokens: Gauge,
     /// The measured time to prefill a prompt token, in nanoseconds.
@@ -53,6 +55,9 @@
         registry.register("admissions", "Decisions on admissions", decisions);
         let waiting = self.waiting.clone();
         registry.register("admissions_waiting", "Requests that wait for one", waiting);
+        let admitted = self.admitted.clone();
+        let help = "Requests admitted and not ended";
+        registry.register("admissions_admitted", help, admitted);
         let outstanding = self.outstanding_tokens.clone();
         let help = "Prompt tokens admitted and not prefilled";
         registry.register("outstanding_prefill_tokens", help, outstanding);
