--- a/crates/bilberry-core/src/engine_queue/order.rs
+++ b/crates/bilberry-core/src/engine_queue/order.rs
@@ -132,7 +132,15 @@
     fn fits(&self, waiting: &Waiting, now: UnixMs) -> bool {
         self.room.has_room(waiting.id, waiting.terms.memory_tokens)
             && self.fits_prefill(waiting, now)
-            && !self.delays_reserved(waiting)
+    }
+
+    /// Returns whether a request whose part is exceeded can be admitted now.
+    ///
+    /// Urgent requests that never pause keep the outstanding prefill close to the allowance.
+    fn fits_exceeded(&self, id: CallId) -> bool {
+        let Some(waiting) = self.waiting.get(&id) else { return false };
+        self.room.has_room(id, waiting.terms.memory_tokens)
+            && self.room.outstanding_tokens() <= self.allowance_tokens()
     }
 
     fn fits_prefill(&self, waiting: &Waiting, now: UnixMs) -> bool {
@@ -147,17 +155,6 @@
             || (outstanding <= allowance && self.is_urgent(waiting))
     }
 
-    /// Returns whether a request that yields would delay the prefill of the reserved one.
-    fn delays_reserved(&self, waiting: &Waiting) -> bool {
-        let reserved = self.room.reserved().filter(|id| *id != waiting.id);
-        let Some(reserved) = reserved.and_then(|id| self.waiting.get(&id)) else {
-            return false;
-        };
-        !self.is_urgent(waiting)
-            && waiting.terms.priority >= reserved.terms.priority
-            && self.room.has_room(reserved.id, reserved.terms.memory_tokens)
-    }
-
     /// Keeps room for the next request if it lacks room and has waited a part of its time.
     fn update_reservation(&mut self, order: &[Ordered], now: UnixMs) {
         let Some(first) = order.first().filter(|_| self.room.reserved().is_none()) else {
@@ -167,7 +164,8 @@
         let next = [passed_over, Some(*first)].into_iter().flatten();
         let next = next.filter_map(|ordered| self.waiting.get(&ordered.id));
         let is_due = |waiting: &&Waiting| {
-            waiting.reserves_at().has_passed_at(now) && !self.fits(waiting, now)
+            waiting.reserves_at().has_passed_at(now)
+                && !self.room.has_room(waiting.id, waiting.terms.memory_tokens)
         };
         let wanted = next.filter(is_due).map(|w| (w.id, w.terms.memory_tokens)).next();
         if wanted.is_some() {
@@ -176,17 +174,32 @@
     }
 
     /// Returns the next request that fits.
+    ///
+    /// Those that yield don't pass one that has waited a part of its time and lacks nothing
+    /// but prefill, as the outstanding prefill would never be little enough for it.
     fn next_to_admit(&self, order: &[Ordered], now: UnixMs) -> Option<Ordered> {
-        let fits = |ordered: &Ordered| {
-            self.waiting.get(&ordered.id).is_some_and(|waiting| self.fits(waiting, now))
-        };
         let passed_over = self.due_passed_over(order.first()?.class, order);
         // Short prompts delay it little, so they go first until its part is exceeded.
         let is_exceeded = passed_over.is_some_and(|oldest| {
             self.passed_over_tokens >= self.passed_over_limit(oldest.id)
         });
         let urgent = order.iter().take_while(|o| !o.class.yields && !is_exceeded);
-        urgent.copied().chain(passed_over).chain(order.iter().copied()).find(fits)
+        if let Some(oldest) = passed_over.filter(|_| is_exceeded)
+            && self.fits_exceeded(oldest.id)
+        {
+            return Some(oldest);
+        }
+        let candidates = urgent.chain(&passed_over).chain(order);
+        let mut may_pass = true;
+        for ordered in candidates {
+            let Some(waiting) = self.waiting.get(&ordered.id) else { continue };
+            if (may_pass || !ordered.class.yields) && self.fits(waiting, now) {
+                return Some(*ordered);
+            }
+            may_pass &= !waiting.reserves_at().has_passed_at(now)
+                || !self.room.has_room(waiting.id, waiting.terms.memory_tokens);
+        }
+        None
     }
 
     /// Returns the most tokens that are saved for a request that was passed over.
@@ -280,8 +293,14 @@
         for ordered in order {
             let Some(waiting) = self.waiting.get(&ordered.id) else { continue };
             let is_urgent = self.is_urgent(waiting);
-            let in_order = if is_urgent { urgent_ahead } else { ahead };
-            let mut wait_ms = self.predicted_wait_ms(waiting, in_order, is_urgent);
+            let mut wait_ms = match is_urgent {
+                true => self.predicted_wait_ms(waiting, urgent_ahead, |tokens| {
+                    self.pace.time_ms(tokens)
+                }),
+                false => self.predicted_wait_ms(waiting, ahead, |tokens| {
+                    self.pace.yielding_time_ms(tokens)
+                }),
+            };
             if !is_urgent && !waiting.has_ticket {
                 let tokens = returning.tokens_until(now.plus_ms(wait_ms));
                 wait_ms += self.pace.yielding_time_ms(tokens);
@@ -298,19 +317,21 @@
         }
     }
 
-    fn predicted_wait_ms(&self, waiting: &Waiting, ahead: Ahead, is_urgent: bool) -> u64 {
+    /// Predicts the wait behind `ahead`; `time_ms` is the time for a number of prompt tokens.
+    fn predicted_wait_ms(
+        &self,
+        waiting: &Waiting,
+        ahead: Ahead,
+        time_ms: impl Fn(u64) -> u64,
+    ) -> u64 {
         let AdmissionTerms { prefill_tokens, memory_tokens, .. } = waiting.terms;
         let allowance = self.allowance_tokens();
-        let may_remain = match is_urgent {
+        let may_remain = match self.is_urgent(waiting) {
             true => allowance,
             false => allowance.saturating_sub(prefill_tokens),
         };
         let tokens = self.room.outstanding_tokens() + ahead.prefill_tokens;
-        let tokens = tokens.saturating_sub(may_remain);
-        let prefill_ms = match is_urgent {
-            true => self.pace.time_ms(tokens),
-            false => self.pace.yielding_time_ms(tokens),
-        };
+        let prefill_ms = time_ms(tokens.saturating_sub(may_remain));
         let memory_tokens = ahead.memory_tokens + memory_tokens;
         let room_ms = self.room.predicted_wait_ms(ahead.requests + 1, memory_tokens);
         prefill_ms.max(room_ms)
@@ -331,8 +352,10 @@
         let mut waits = BTreeMap::new();
         for waiting in lower {
             let share = TOKENS_PER_PASSED_OVER_TOKEN + 1;
-            let wait_ms = self.predicted_wait_ms(waiting, ahead, false);
-            waits.insert(waiting.id, wait_ms.saturating_mul(share));
+            let wait_ms = self.predicted_wait_ms(waiting, ahead, |tokens| {
+                self.pace.time_ms(tokens).saturating_mul(share)
+            });
+            waits.insert(waiting.id, wait_ms);
             ahead.add(waiting);
         }
         waits
