--- a/crates/bilberry-steward/src/admission.rs
+++ b/crates/bilberry-steward/src/admission.rs
@@ -127,7 +127,7 @@
     fn advance(&self) -> Option<UnixMs> {
         let now = self.clock.now();
         let mut state = self.state.lock().unwrap();
-        state.record_engine(&self.engine.borrow(), now);
+        state.record_engine(&self.engine.borrow());
         self.settle(&mut state, now);
         state.end_rejections(now);
         let rejections_end =
@@ -139,7 +139,7 @@
         let now = self.clock.now();
         let mut state = self.state.lock().unwrap();
         // An entry may ask before the task that follows the engine has run.
-        state.record_engine(&self.engine.borrow(), now);
+        state.record_engine(&self.engine.borrow());
         let decision = state.request(id, request, now);
         self.record(&mut state, decision, now);
         self.settle(&mut state, now);
@@ -200,7 +200,7 @@
 }
 
 impl State {
-    fn record_engine(&mut self, reported: &EngineState, now: UnixMs) {
+    fn record_engine(&mut self, reported: &EngineState) {
         let upstream = &reported.upstream;
         if self.is_new_incarnation(upstream.started_at_ms, upstream.cache_epoch) {
             let waiting = self.queue.waiting_count() as u64;
