--- a/crates/bilberry-steward/src/feed.rs
+++ b/crates/bilberry-steward/src/feed.rs
@@ -176,7 +176,7 @@
         let upstream = UpstreamState {
             entries: connection.total(),
             keeps_quotas: true,
-            admission: Some(feed.admissions.load()),
+            admission: interest.is_stated().then(|| feed.admissions.load()),
             loads_in_ms: sent.loads_at.map(|at| at.ms_since(now)),
             ..sent.upstream.clone()
         };
@@ -289,7 +289,7 @@
                         _ => continue,
                     };
                     presence.identify(&notice.entry);
-                    interest.set(notice.observes_runs);
+                    let interest_changed = interest.set(notice.observes_runs);
                     feed.newest.record_notice(&notice, feed.clock.now());
                     let wanted = parse_addresses(&notice.prompt_stores);
                     stores.retain(|store: &StoreSubscription| wanted.contains(&store.address));
@@ -301,6 +301,10 @@
                         send(&mut framed, Body::StoreChange(store.take_snapshot())).await?;
                         stores.push(store);
                     }
+                    // The entry needs the work ahead before it places requests here.
+                    if interest_changed {
+                        break;
+                    }
                 },
             }
         }
--- a/crates/bilberry-steward/src/run_interest.rs
+++ b/crates/bilberry-steward/src/run_interest.rs
@@ -35,14 +35,20 @@
 }
 
 impl EntryInterest {
-    /// Records whether the entry uses the engine's runs.
-    pub(crate) fn set(&mut self, observes_runs: bool) {
+    /// Reports whether the entry uses what the sidecar observes.
+    pub(crate) fn is_stated(&self) -> bool {
+        self.is_counted
+    }
+
+    /// Records whether the entry uses the engine's runs; returns whether that has changed.
+    pub(crate) fn set(&mut self, observes_runs: bool) -> bool {
         match (self.is_counted, observes_runs) {
             (false, true) => self.interest.entries.fetch_add(1, Ordering::Relaxed),
             (true, false) => self.interest.entries.fetch_sub(1, Ordering::Relaxed),
-            _ => return,
+            _ => return false,
         };
         self.is_counted = observes_runs;
+        true
     }
 }
 
--- a/crates/bilberry-steward/tests/admission.rs
+++ b/crates/bilberry-steward/tests/admission.rs
@@ -118,6 +118,7 @@
             admissions,
             limits: LimitRelay::new(),
             run_interest: RunInterest::default(),
+            runs: Arc::default(),
             clock,
         };
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -201,6 +202,8 @@
         memory_tokens: 200,
         slots: SLOTS,
         key: 1,
+        target_ms: 20_000,
+        shortest_target_ms: 20_000,
     }
 }
 
