--- a/crates/bilberry-steward/tests/admission.rs
+++ b/crates/bilberry-steward/tests/admission.rs
@@ -36,6 +36,7 @@
 use bilberry_wire::AdmissionStage;
 use bilberry_wire::AdmissionUpdate;
 use bilberry_wire::Body;
+use bilberry_wire::EntryNotice;
 use bilberry_wire::Frame;
 use bilberry_wire::FrameCodec;
 use bilberry_wire::UpstreamState;
@@ -332,9 +333,12 @@
 }
 
 #[tokio::test]
-async fn the_state_tells_the_work_ahead_by_priority() {
+async fn the_state_tells_the_work_ahead_by_priority_to_entries_that_use_it() {
     let sidecar = Sidecar::start().await;
-    let mut entry = sidecar.connect().await;
+    let (mut entry, mut other) = (sidecar.connect().await, sidecar.connect().await);
+    let notice = EntryNotice { observes_runs: true, ..EntryNotice::default() };
+    entry.send(0, Body::EntryNotice(notice)).await;
+    assert!(entry.next_state().await.admission.is_some());
     for call in 1..=SLOTS {
         entry.request(call, request()).await;
         entry.expect(call, AdmissionOutcome::Admitted).await;
@@ -350,6 +354,8 @@
     assert_eq!(load.admitted_tokens, 200);
     let waiting = load.waiting.iter().map(|load| (load.priority, load.tokens));
     assert_eq!(waiting.collect::<Vec<_>>(), [(3, 100)]);
+    other.send(0, Body::EntryNotice(EntryNotice::default())).await;
+    assert_eq!(other.next_state().await.admission, None);
 }
 
 #[tokio::test]
