Send the engine's pace in the state from its sidecar

The sidecar measures the pace from the reports that include runs and puts it into the state that it publishes. A change of the pace alone causes no message: entries get it with the next one. The times are gauges at the sidecar. output_token_us is the time between two events, which may carry several tokens; its comment says so, its tag is unchanged.

--- a/crates/bilberry-steward/src/engine_controller.rs
+++ b/crates/bilberry-steward/src/engine_controller.rs
@@ -6,10 +6,12 @@
 use bilberry_core::Clock;
 use bilberry_core::Incarnation;
 use bilberry_core::IncarnationOrder;
+use bilberry_core::PaceMeter;
 use bilberry_core::Rollout;
 use bilberry_core::UnixMs;
 use bilberry_core::may_start_load;
 use bilberry_core::sidecar_fencing_token;
+use bilberry_wire::EnginePace;
 use bilberry_wire::ModelVersion;
 use bilberry_wire::UpstreamState;
 use tokio::sync::watch;
@@ -89,6 +91,7 @@
     /// The most recently logged plan.
     plan: Option<LoadPlan>,
     next_order_at: UnixMs,
+    pace: PaceMeter,
 }
 
 impl PollState {
@@ -100,6 +103,7 @@
             accepted_order: None,
             plan: None,
             next_order_at: UnixMs(0),
+            pace: PaceMeter::default(),
         }
     }
 }
@@ -221,13 +225,18 @@
             // the epoch once the engine responds again.
             self.cache.clear_epoch();
             self.metrics.engine_up.set(0);
-            self.publish(|published| published.upstream.up = false);
+            state.pace.interrupt();
+            self.publish(|published| {
+                published.upstream.up = false;
+                published.upstream.pace = None;
+            });
         }
     }
 
     /// Publishes the state in a report, and sends an order if a load is due.
     async fn process_report(&self, report: &EngineReport, state: &mut PollState) {
         let now = self.clock.now();
+        let pace = self.measure_pace(report, state, now);
         let next_load = self.next_load(report, state);
         self.record_plan(report, next_load.as_ref(), state, now);
         let loading =
@@ -250,6 +259,7 @@
             upstream.queued = report.queued;
             upstream.used_tokens = report.used_tokens;
             upstream.total_tokens = report.total_tokens;
+            upstream.pace = pace;
         });
         if let Some(incarnation) = state.incarnation {
             self.cache.observe_incarnation(incarnation);
@@ -264,6 +274,24 @@
         }
     }
 
+    /// Measures the engine's pace from its runs, if they are reported.
+    fn measure_pace(
+        &self,
+        report: &EngineReport,
+        state: &mut PollState,
+        now: UnixMs,
+    ) -> Option<EnginePace> {
+        match &report.runs {
+            Some(runs) => state.pace.record(state.incarnation, runs, report.busy, now),
+            None => state.pace.interrupt(),
+        }
+        let pace = state.pace.pace(now).map(EnginePace::from);
+        let EnginePace { prefill_token_ns, output_token_us } = pace.unwrap_or_default();
+        self.metrics.prefill_token_ns.set(prefill_token_ns as i64);
+        self.metrics.event_us.set(output_token_us as i64);
+        pace
+    }
+
     /// Returns the load that brings outdated weights of the engine up to date.
     ///
     /// The load is scheduled from the first version that the engine missed, and loads the
@@ -381,8 +409,10 @@
 
     fn publish(&self, change: impl FnOnce(&mut EngineState)) {
         self.state.send_if_modified(|state| {
-            let before = state.clone();
+            let mut before = state.clone();
             change(state);
+            // The pace changes with each report; entries get it with the next message.
+            before.upstream.pace = state.upstream.pace;
             *state != before
         });
     }
--- a/crates/bilberry-steward/src/metrics.rs
+++ b/crates/bilberry-steward/src/metrics.rs
@@ -42,6 +42,10 @@
     pub queued: Gauge,
     /// The engine's memory that cannot be freed at present, in tokens.
     pub used_tokens: Gauge,
+    /// The engine's time to prefill a prompt token, in nanoseconds; 0 while unknown.
+    pub prefill_token_ns: Gauge,
+    /// The engine's time between two events of a run, in microseconds; 0 while unknown.
+    pub event_us: Gauge,
     /// Objects of the platform's store that could not be interpreted.
     pub unreadable: UnreadableObjects,
     /// Changes of the platform store's era, which follow a restore from an older copy.
@@ -61,6 +65,8 @@
             running: Gauge::default(),
             queued: Gauge::default(),
             used_tokens: Gauge::default(),
+            prefill_token_ns: Gauge::default(),
+            event_us: Gauge::default(),
             unreadable: UnreadableObjects::default(),
             era_changes: EraChanges::default(),
         };
@@ -83,6 +89,11 @@
         registry.register("queued", "Requests that wait", self.queued.clone());
         let used = self.used_tokens.clone();
         registry.register("used_tokens", "Tokens of memory in use", used);
+        let prefill = self.prefill_token_ns.clone();
+        let help = "Time to prefill a prompt token, 0 while unknown";
+        registry.register("prefill_token_ns", help, prefill);
+        let help = "Time between two events of a run, 0 while unknown";
+        registry.register("event_us", help, self.event_us.clone());
         self.unreadable.register(&mut registry);
         self.era_changes.register(&mut registry);
     }
--- a/crates/bilberry-wire/src/feed.rs
+++ b/crates/bilberry-wire/src/feed.rs
@@ -2,6 +2,7 @@
 
 use bilberry_core::Incarnation;
 use bilberry_core::UnixMs;
+use bilberry_core::WorkPace;
 
 use crate::AdmissionLoad;
 
@@ -77,11 +78,32 @@
     /// The time to prefill a prompt token, in nanoseconds; zero while unknown.
     #[prost(uint64, tag = "1")]
     pub prefill_token_ns: u64,
-    /// The time between two tokens of a run, in microseconds; zero while unknown.
+    /// The time between two events of a run, in microseconds; zero while unknown.
+    ///
+    /// An event may carry several tokens.
     #[prost(uint64, tag = "2")]
     pub output_token_us: u64,
 }
 
+impl From<WorkPace> for EnginePace {
+    fn from(pace: WorkPace) -> Self {
+        Self {
+            prefill_token_ns: pace.prefill_token_ns.unwrap_or_default(),
+            output_token_us: pace.event_us.unwrap_or_default(),
+        }
+    }
+}
+
+impl From<EnginePace> for WorkPace {
+    fn from(pace: EnginePace) -> Self {
+        let known = |value: u64| (value > 0).then_some(value);
+        Self {
+            prefill_token_ns: known(pace.prefill_token_ns),
+            event_us: known(pace.output_token_us),
+        }
+    }
+}
+
 /// An entry's view of the service, sent to a sidecar.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct EntryNotice {
