Place requests by predicted times where the pace of engines is known

Costs in tokens send as much work to a slow engine as to a fast one. For services whose servers report the load of their hosts, an entry now predicts the time to the first event and the longest pause at each engine, from the engine's pace and the work ahead of the request. Engines at which a target is at risk come last; among the others the time of the work decides. A request that is at risk everywhere goes where the least work is ahead. The work that other entries have sent is estimated from this entry's requests at the engine. A share of one request by rank keeps entries with the same state from choosing the same engine. Plain servers' running work is scaled by the mean load of their hosts.

--- a/crates/bilberry-core/src/placement.rs
+++ b/crates/bilberry-core/src/placement.rs
@@ -7,39 +7,43 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::WorkPace;
+use crate::placement_time::MeanPace;
+use crate::placement_time::share_by_rank;
+use crate::placement_time::time_cost;
 use crate::routing::rank;
 
 /// The cost that each running request adds for a new one, in prefilled prompt tokens.
 ///
 /// Each running request lengthens a decode step by about 0.04 ms. Over the 60 steps of
 /// a typical answer, a server could prefill about 250 tokens in the added time.
-const RUNNING_COST_TOKENS: u64 = 250;
+pub(crate) const RUNNING_COST_TOKENS: u64 = 250;
 
 /// The cost that each queued request adds for a new one, in prompt tokens.
 ///
 /// The entry does not know the prompt of a queued request. The value is the order of
 /// magnitude of the uncached part of a long prompt whose shared part is cached.
-const QUEUED_COST_TOKENS: u64 = 3_000;
+pub(crate) const QUEUED_COST_TOKENS: u64 = 3_000;
 
 /// The cost of sending to another data centre, in prompt tokens per kilobyte.
 ///
 /// Traffic between data centres is billed. A kilobyte is weighted like about a
 /// fiftieth of the prefill of a long prompt.
-const CROSS_DATA_CENTRE_COST_TOKENS_PER_KB: u64 = 200;
+pub(crate) const CROSS_DATA_CENTRE_COST_TOKENS_PER_KB: u64 = 200;
 
 /// The divisor of the cost of missing shared tokens that can be fetched instead of
 /// prefilled.
 ///
 /// Fetching is about 200 times as fast as prefilling, but the fetched tokens are then
 /// cached twice and evict other prompts, which must be prefilled again.
-const FETCH_COST_DIVISOR: u64 = 2;
+pub(crate) const FETCH_COST_DIVISOR: u64 = 2;
 
 /// The cost of serving a request with older weights, in prompt tokens.
 ///
 /// An answer from older weights loses part of its value, a late one nearly all. The
 /// cost is about one long prompt: the newest weights win among equally busy servers,
 /// without overloading the first few servers that have loaded them.
-const OLD_WEIGHTS_COST_TOKENS: u64 = 8_000;
+pub(crate) const OLD_WEIGHTS_COST_TOKENS: u64 = 8_000;
 
 /// The age of newer weights from which older ones incur a cost.
 ///
@@ -124,6 +128,11 @@
     pub pending_tokens: u64,
     /// Requests running on it.
     pub running: u64,
+    /// The requests of this entry among those that are running or queued.
+    pub own_running: u64,
+    /// The prompt tokens not prefilled yet that a request in progress there has on
+    /// average.
+    pub mean_pending_tokens: u64,
     /// Requests queued at it.
     pub queued: u64,
     /// Whether its weights may serve the request.
@@ -132,6 +141,19 @@
     pub cached_tokens: u64,
     /// The time until it starts a planned load of weights, in milliseconds.
     pub loads_in_ms: Option<u64>,
+    /// How fast it works, if measured; used for services on shared hosts.
+    pub pace: Option<WorkPace>,
+    /// How long work takes on its host, in percent of the usual time, if it is a plain
+    /// server that reports it.
+    pub host_percent: Option<u64>,
+}
+
+impl PlacementCandidate {
+    /// Returns how much of an answer of `answer_ms` it would generate after the start of
+    /// a planned load of weights, in milliseconds.
+    pub(crate) fn load_overlap_ms(&self, answer_ms: u64) -> u64 {
+        self.loads_in_ms.map_or(0, |loads_in_ms| answer_ms.saturating_sub(loads_in_ms))
+    }
 }
 
 /// The requirements of a request.
@@ -151,6 +173,13 @@
     pub body_bytes: u64,
     /// Whether a prompt store can supply shared parts that an upstream lacks.
     pub can_fetch: bool,
+    /// The time since its arrival, in milliseconds.
+    pub waited_ms: u64,
+    /// The target time to its first event, in milliseconds.
+    pub target_ms: Option<u64>,
+    /// The longest time between two of its events that counts as in time, in
+    /// milliseconds.
+    pub gap_ms: Option<u64>,
 }
 
 impl PlacementRequest {
@@ -161,18 +190,28 @@
 }
 
 /// Returns the index of the best candidate; `None` if no candidate has capacity.
+///
+/// If the pace of any candidate is known, predicted times decide. Otherwise costs in
+/// tokens do, scaled by the load of the hosts if any is known.
 pub fn choose_upstream(
     request: &PlacementRequest,
     candidates: &[PlacementCandidate],
 ) -> Option<usize> {
+    let mean_pace = MeanPace::of(candidates);
+    let mean_percent = mean_host_percent(candidates);
+    let order = |candidate: &PlacementCandidate| match (mean_pace, mean_percent) {
+        (Some(mean), _) => time_cost(request, candidate, mean),
+        (None, Some(mean)) => (false, host_cost(request, candidate, mean)),
+        (None, None) => (false, cost(request, candidate)),
+    };
     let scored = candidates
         .iter()
         .enumerate()
         .filter(|(_, candidate)| has_capacity(request, candidate));
     let scored = scored.map(|(at, candidate)| {
-        (cost(request, candidate), rank(request.affinity, candidate.seed), at)
+        (order(candidate), rank(request.affinity, candidate.seed), at)
     });
-    scored.min_by_key(|&(cost, rank, _)| (cost, !rank)).map(|(_, _, at)| at)
+    scored.min_by_key(|&(order, rank, _)| (order, !rank)).map(|(_, _, at)| at)
 }
 
 fn has_capacity(request: &PlacementRequest, candidate: &PlacementCandidate) -> bool {
@@ -183,6 +222,37 @@
 }
 
 fn cost(request: &PlacementRequest, candidate: &PlacementCandidate) -> u64 {
+    fixed_cost(request, candidate) + work_cost(candidate)
+}
+
+/// Returns the cost if work takes longer on some hosts than on others.
+///
+/// Besides the work in progress it counts a share, by rank, of this request: the servers
+/// without work get requests in inverse proportion to the load of their hosts, instead of
+/// one server getting those of all entries.
+fn host_cost(
+    request: &PlacementRequest,
+    candidate: &PlacementCandidate,
+    mean_percent: u64,
+) -> u64 {
+    let percent = candidate.host_percent.unwrap_or(mean_percent);
+    let own = share_by_rank(RUNNING_COST_TOKENS, request.affinity, candidate.seed);
+    fixed_cost(request, candidate) + (work_cost(candidate) + own) * percent / 100
+}
+
+fn mean_host_percent(candidates: &[PlacementCandidate]) -> Option<u64> {
+    let known: Vec<u64> =
+        candidates.iter().filter_map(|candidate| candidate.host_percent).collect();
+    (!known.is_empty()).then(|| known.iter().sum::<u64>() / known.len() as u64)
+}
+
+/// Returns the cost of the work in progress at a candidate.
+fn work_cost(candidate: &PlacementCandidate) -> u64 {
+    candidate.running * RUNNING_COST_TOKENS + candidate.queued * QUEUED_COST_TOKENS
+}
+
+/// Returns the cost of what the work in progress does not affect.
+fn fixed_cost(request: &PlacementRequest, candidate: &PlacementCandidate) -> u64 {
     let missing = request.shared_tokens.saturating_sub(candidate.cached_tokens);
     let missing = match request.can_fetch {
         true => missing / FETCH_COST_DIVISOR,
@@ -200,8 +270,6 @@
         + cross_data_centre
         + older_weights
         + candidate.pending_tokens
-        + candidate.running * RUNNING_COST_TOKENS
-        + candidate.queued * QUEUED_COST_TOKENS
         + load_overlap_cost(request, candidate)
 }
 
@@ -210,9 +278,11 @@
 /// New weights are announced every few seconds and the engines load them in turn, so
 /// there is nearly always an engine that will not load before a long answer ends. The
 /// cost makes such an engine preferred, so that fewer tokens are generated past a load.
-fn load_overlap_cost(request: &PlacementRequest, candidate: &PlacementCandidate) -> u64 {
-    let Some(loads_in_ms) = candidate.loads_in_ms else { return 0 };
-    let overlap_ms = request.answer_ms.saturating_sub(loads_in_ms);
+pub(crate) fn load_overlap_cost(
+    request: &PlacementRequest,
+    candidate: &PlacementCandidate,
+) -> u64 {
+    let overlap_ms = candidate.load_overlap_ms(request.answer_ms);
     LOAD_OVERLAP_COST_TOKENS * overlap_ms / request.answer_ms.max(1)
 }
 
--- a/crates/bilberry-core/tests/forwarding.rs
+++ b/crates/bilberry-core/tests/forwarding.rs
@@ -46,6 +46,7 @@
         answer_ms: 500,
         body_bytes: 18_000,
         can_fetch: true,
+        ..PlacementRequest::default()
     }
 }
 
--- a/crates/bilberry-gateway/src/metrics.rs
+++ b/crates/bilberry-gateway/src/metrics.rs
@@ -47,6 +47,8 @@
     pub resumed: Counter,
     /// Requests placed on weights older than the newest known version.
     pub placed_on_older_weights: Counter,
+    /// Requests that were predicted to miss a target wherever they were placed.
+    pub predicted_late: Counter,
     /// Upstreams that are no longer listed but still in use.
     pub kept_upstreams: Gauge,
     /// The version of the configuration in force.
@@ -83,6 +85,7 @@
             wait_seconds: histogram(),
             resumed: Counter::default(),
             placed_on_older_weights: Counter::default(),
+            predicted_late: Counter::default(),
             kept_upstreams: Gauge::default(),
             config_version: Gauge::default(),
             watches: Family::default(),
@@ -117,6 +120,9 @@
         let older = self.placed_on_older_weights.clone();
         let help = "Requests placed on older weights";
         registry.register("placed_on_older_weights", help, older);
+        let late = self.predicted_late.clone();
+        let help = "Requests predicted to miss a target when they were placed";
+        registry.register("predicted_late", help, late);
         let kept = self.kept_upstreams.clone();
         let help = "Upstreams in use that the list no longer names";
         registry.register("kept_upstreams", help, kept);
--- a/crates/bilberry-gateway/src/placement.rs
+++ b/crates/bilberry-gateway/src/placement.rs
@@ -7,9 +7,12 @@
 use bilberry_core::Name;
 use bilberry_core::PlacementCandidate;
 use bilberry_core::PlacementRequest;
+use bilberry_core::PredictedTimes;
+use bilberry_core::ServiceBacklog;
 use bilberry_core::UnixMs;
 use bilberry_core::WeightsStatus;
 use bilberry_core::choose_upstream;
+use bilberry_core::predict_times;
 use tokio::time::timeout;
 
 use crate::Dialect;
@@ -136,7 +139,12 @@
         let model = context.call.model.clone().unwrap_or_default();
         let needs_weights = context.call.model.is_some() && context.pool.engine.is_some();
         let can_fetch = self.stores.any_reachable();
-        let request = context.demand(can_fetch, self.speed.token_us(&context.pool.name));
+        let token_us = self.speed.token_us(&context.pool.name);
+        let request = context.demand(can_fetch, token_us, now);
+        let backlogs = || upstreams.iter().map(|upstream| upstream.prefill_backlog(now));
+        let backlog = self
+            .has_shared_hosts(&context.pool.name)
+            .then(|| ServiceBacklog::sum(backlogs(), now));
         let mut versions = Vec::with_capacity(upstreams.len());
         let mut candidates: Vec<PlacementCandidate> = upstreams
             .iter()
@@ -144,6 +152,14 @@
                 let mut candidate =
                     upstream.offer(now, &self.settings.data_centre, context.pool.engine);
                 candidate.usable &= !context.has_tried(upstream);
+                match &backlog {
+                    Some(backlog) => {
+                        candidate.mean_pending_tokens = upstream
+                            .prefill_backlog(now)
+                            .mean_pending_tokens(backlog, now);
+                    }
+                    None => candidate.pace = None,
+                }
                 let version = upstream.weights(&model, now);
                 candidate.weights = self.classify_weights(version, &model, now);
                 match version {
@@ -168,8 +184,17 @@
             candidates.iter().zip(&versions).filter(|(_, other)| **other == version);
         let cached_tokens =
             same_weights.map(|(candidate, _)| candidate.cached_tokens).max();
+        let predicted = predict_times(&request, &candidates, index);
+        let prompt_tokens = request.shared_tokens + request.own_tokens;
+        // Predictions count the work ahead, which excludes what is cached.
+        let pending_tokens = match predicted {
+            Some(_) => prompt_tokens.saturating_sub(candidates[index].cached_tokens),
+            None => prompt_tokens,
+        };
         Some(Placement {
             upstream: upstreams[index].clone(),
+            pending_tokens,
+            predicted,
             demand: request,
             weights: version,
             cached_tokens: cached_tokens.unwrap_or_default(),
@@ -184,7 +209,8 @@
 
     /// Reserves capacity at the chosen upstream.
     fn take_seat(&self, context: &mut RequestContext, choice: Placement) -> Reservation {
-        let Placement { upstream, demand: request, weights, .. } = choice;
+        let Placement { upstream, demand, pending_tokens, predicted, weights, .. } =
+            choice;
         let model = context.call.model.clone().unwrap_or_default();
         context.weights = weights;
         context.weights_outdated_ms =
@@ -192,9 +218,12 @@
         if context.weights_outdated_ms.is_some() {
             self.metrics.placed_on_older_weights.inc();
         }
-        let missing = request.shared_tokens + request.own_tokens;
+        context.predicted = predicted;
+        if predicted.is_some_and(|times| times.is_late) {
+            self.metrics.predicted_late.inc();
+        }
         let changed = self.upstreams.changed.clone();
-        Reservation::take(upstream, request.memory_tokens(), missing, changed)
+        Reservation::take(upstream, demand.memory_tokens(), pending_tokens, changed)
     }
 }
 
@@ -203,6 +232,10 @@
 pub(crate) struct Placement {
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) demand: PlacementRequest,
+    /// The tokens that the upstream has to prefill for the request.
+    pub(crate) pending_tokens: u64,
+    /// The predicted times, if the pace of any upstream is known.
+    pub(crate) predicted: Option<PredictedTimes>,
     /// The version of the upstream's weights.
     pub(crate) weights: Option<u64>,
     /// The largest number of shared tokens that any upstream with these weights holds.
--- a/crates/bilberry-gateway/src/request_context.rs
+++ b/crates/bilberry-gateway/src/request_context.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bilberry_core::PlacementRequest;
+use bilberry_core::PredictedTimes;
 use bilberry_core::RequestKey;
 use bilberry_core::UnixMs;
 use bytes::Bytes;
@@ -73,6 +74,8 @@
     pub weights: Option<u64>,
     /// How long these weights had been outdated when the request was placed.
     pub weights_outdated_ms: Option<u64>,
+    /// The times predicted when it was placed, if the pace of its upstreams is known.
+    pub predicted: Option<PredictedTimes>,
     /// The keys of the shared prompt parts, by the version of the weights.
     pub prompt_keys: Vec<(u64, Arc<PromptKeys>)>,
     /// The shared parts that the upstream computes for it, once announced to other
@@ -151,7 +154,12 @@
     }
 
     /// Returns the resources that the request needs at an upstream.
-    pub fn demand(&self, can_fetch: bool, token_us: u64) -> PlacementRequest {
+    pub fn demand(
+        &self,
+        can_fetch: bool,
+        token_us: u64,
+        now: UnixMs,
+    ) -> PlacementRequest {
         let shared_tokens = self.call.shared_tokens();
         PlacementRequest {
             affinity: self.affinity(),
@@ -161,6 +169,9 @@
             answer_ms: self.call.output_tokens * token_us / 1_000,
             body_bytes: self.body.len() as u64,
             can_fetch,
+            waited_ms: now.ms_since(self.arrived_at),
+            target_ms: Some(self.route.target_ms),
+            gap_ms: self.route.gap_ms,
         }
     }
 
--- a/crates/bilberry-gateway/src/request_log.rs
+++ b/crates/bilberry-gateway/src/request_log.rs
@@ -67,6 +67,8 @@
         waited_for_parts_ms = context.waited_for_parts_ms,
         shared_tokens = context.call.shared_tokens(),
         supplied_tokens = context.supplied_tokens,
+        predicted_first_ms = context.predicted.map_or(0, |times| times.first_ms),
+        predicted_gap_ms = context.predicted.map_or(0, |times| times.gap_ms),
         target_ms = context.route.target_ms,
         first_byte_ms = context.first_byte_ms.unwrap_or_default(),
         total_ms = now.ms_since(context.arrived_at),
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -178,6 +178,7 @@
             backup: None,
             weights: None,
             weights_outdated_ms: None,
+            predicted: None,
             prompt_keys: Vec::new(),
             prefill: None,
             prefix_wait_until: None,
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -12,10 +12,12 @@
 use bilberry_core::Incarnation;
 use bilberry_core::Name;
 use bilberry_core::PlacementCandidate;
+use bilberry_core::PrefillBacklog;
 use bilberry_core::SidecarStatus;
 use bilberry_core::StorePosition;
 use bilberry_core::UnixMs;
 use bilberry_core::WeightsStatus;
+use bilberry_core::WorkPace;
 use bilberry_wire::Body;
 use bilberry_wire::CacheChange;
 use bilberry_wire::UpstreamState;
@@ -342,6 +344,9 @@
     pub fn record_status(&self, status: &ServerStatus, now: UnixMs) {
         let mut live = self.live.lock().unwrap();
         live.load = status.load.or(live.load);
+        if let Some(percent) = status.load.and_then(|load| load.host_percent) {
+            live.host_load.record(percent, now);
+        }
         if status.is_shutting_down && !live.announced_leaving {
             live.leaving = true;
             live.announced_leaving = true;
@@ -458,13 +463,28 @@
             free_tokens: total_tokens.map_or(u64::MAX, |t| t.saturating_sub(used_tokens)),
             pending_tokens: live.pending_tokens,
             running: in_progress,
+            own_running: live.in_progress,
+            mean_pending_tokens: 0,
             queued,
             weights: WeightsStatus::Acceptable,
             cached_tokens: 0,
             loads_in_ms: live.loads_at.map(|at| at.ms_since(now)),
+            pace: feed.and_then(|state| state.pace).map(WorkPace::from),
+            host_percent: match engine {
+                Some(_) => None,
+                None => live.host_load.percent(now),
+            },
         }
     }
 
+    /// Returns how much this entry's requests at it still have to prefill on average.
+    pub fn prefill_backlog(&self, now: UnixMs) -> PrefillBacklog {
+        let mut live = self.live.lock().unwrap();
+        let (pending_tokens, running) = (live.pending_tokens, live.in_progress);
+        live.backlog.change(pending_tokens, running, now);
+        live.backlog
+    }
+
     /// Reports whether it is leaving or its sidecar reports it as down.
     pub fn is_down(&self, now: UnixMs) -> bool {
         self.live.lock().unwrap().is_down(now)
--- a/crates/bilberry-gateway/src/upstream/live.rs
+++ b/crates/bilberry-gateway/src/upstream/live.rs
@@ -1,8 +1,10 @@
 //! The mutable state of one incarnation of an upstream.
 
+use bilberry_core::HostLoadMean;
 use bilberry_core::Incarnation;
 use bilberry_core::LimitGate;
 use bilberry_core::Name;
+use bilberry_core::PrefillBacklog;
 use bilberry_core::UnixMs;
 use bilberry_wire::UpstreamState;
 
@@ -30,11 +32,14 @@
     pub(super) cache_epoch: u64,
     pub(super) loads_at: Option<UnixMs>,
     pub(super) load: Option<ServerLoad>,
+    /// The load of its host according to its answers.
+    pub(super) host_load: HostLoadMean,
     pub(super) in_progress: u64,
     pub(super) sent_since_feed: u64,
     pub(super) tokens_since_feed: u64,
     pub(super) pending_tokens: u64,
     pub(super) reserved_tokens: u64,
+    pub(super) backlog: PrefillBacklog,
     pub(super) failures: u32,
     /// Until when it gets no requests after a failure or a refusal as busy.
     pub(super) backoff_until: UnixMs,
@@ -68,11 +73,13 @@
             cache_epoch: 0,
             loads_at: None,
             load: None,
+            host_load: HostLoadMean::default(),
             in_progress: 0,
             sent_since_feed: 0,
             tokens_since_feed: 0,
             pending_tokens: 0,
             reserved_tokens: 0,
+            backlog: PrefillBacklog::default(),
             failures: 0,
             backoff_until: UnixMs(0),
             paused_until: UnixMs(0),
--- a/crates/bilberry-load/src/decide/replay.rs
+++ b/crates/bilberry-load/src/decide/replay.rs
@@ -266,6 +266,7 @@
             answer_ms: (kind.output_tokens as f64 * self.load.engines.step_ms) as u64,
             body_bytes: 0,
             can_fetch: true,
+            ..PlacementRequest::default()
         };
         let Some(engine) = choose_upstream(&demand, &offers) else {
             return Choice::Nowhere;
