Test that an aged pace and that of an earlier incarnation are not used

An entry uses the pace of an engine while its sidecar reports it, forgets the load of a plain server's host after seconds and begins without both at a new incarnation.

--- a/crates/bilberry-gateway/tests/incarnations.rs
+++ b/crates/bilberry-gateway/tests/incarnations.rs
@@ -11,9 +11,12 @@
 use bilberry_core::ReportedLimit;
 use bilberry_core::StorePosition;
 use bilberry_core::UnixMs;
+use bilberry_core::WorkPace;
 use bilberry_gateway::EngineConfig;
 use bilberry_gateway::Listing;
 use bilberry_gateway::Reservation;
+use bilberry_gateway::ServerLoad;
+use bilberry_gateway::ServerStatus;
 use bilberry_gateway::StoreContents;
 use bilberry_gateway::Upstream;
 use bilberry_gateway::Upstreams;
@@ -147,6 +150,25 @@
     }
 }
 
+#[test]
+fn the_pace_of_an_earlier_incarnation_does_not_count() {
+    // Guards against predictions from what another process did on the host.
+    for by_list in [true, false] {
+        let upstreams = one_upstream();
+        let pace = WorkPace { prefill_token_ns: Some(40_000), event_us: Some(9_000) };
+        let known = UpstreamState { pace: Some(pace.into()), ..state(Some(1), 5) };
+        upstreams.apply_state(ID, known, NOW);
+        let load =
+            ServerLoad { running: 0, waiting: 0, slots: 2, host_percent: Some(150) };
+        let status = ServerStatus { load: Some(load), ..ServerStatus::default() };
+        current(&upstreams).record_status(&status, NOW);
+        let host_percent = || current(&upstreams).offer(NOW, "hall-a", None).host_percent;
+        assert_eq!((offer(&upstreams).pace, host_percent()), (Some(pace), Some(150)));
+        restart(&upstreams, by_list);
+        assert_eq!((offer(&upstreams).pace, host_percent()), (None, None));
+    }
+}
+
 #[test]
 fn failures_and_leaving_of_an_earlier_incarnation_do_not_affect_the_next() {
     // The next incarnation gets work immediately, although the earlier one failed and
--- a/crates/bilberry-gateway/tests/knowledge.rs
+++ b/crates/bilberry-gateway/tests/knowledge.rs
@@ -3,17 +3,23 @@
 use std::sync::Arc;
 
 use bilberry_core::Name;
+use bilberry_core::ServiceBacklog;
 use bilberry_core::StorePosition;
 use bilberry_core::UnixMs;
+use bilberry_core::WorkPace;
 use bilberry_core::part_key;
+use bilberry_gateway::EngineConfig;
 use bilberry_gateway::Listing;
 use bilberry_gateway::PromptKeys;
 use bilberry_gateway::PromptPart;
 use bilberry_gateway::Reservation;
+use bilberry_gateway::ServerLoad;
+use bilberry_gateway::ServerStatus;
 use bilberry_gateway::SpeedEstimates;
 use bilberry_gateway::StoreContents;
 use bilberry_gateway::Upstream;
 use bilberry_wire::CacheChange;
+use bilberry_wire::EnginePace;
 use bilberry_wire::UpstreamState;
 
 fn at(ms: u64) -> UnixMs {
@@ -205,3 +211,75 @@
     assert!(engine.holds(1_099_999, at(1_000_000)));
     assert!(engine.holds(99_999, at(1_000_050)));
 }
+
+#[test]
+fn the_pace_of_an_engine_counts_while_its_sidecar_reports_it() {
+    // Guards against predictions from the pace of an engine whose sidecar is silent.
+    let engine = engine();
+    let pace = |now: u64| engine.offer(at(now), "hall-a", None).pace;
+    let report =
+        |pace, now| engine.apply_state(UpstreamState { pace, ..idle() }, at(now));
+    report(Some(EnginePace { prefill_token_ns: 40_000, output_token_us: 0 }), 0);
+    let known = WorkPace { prefill_token_ns: Some(40_000), event_us: None };
+    assert_eq!(pace(1_000), Some(known));
+    assert_eq!(pace(2_000), None);
+    report(Some(known.into()), 3_000);
+    assert_eq!(pace(3_000), Some(known));
+    report(None, 3_100);
+    assert_eq!(pace(3_100), None);
+    report(Some(known.into()), 3_200);
+    engine.clear_feed();
+    assert_eq!(pace(3_200), None);
+}
+
+#[test]
+fn the_load_of_a_plain_servers_host_is_forgotten_after_seconds() {
+    // Guards against a server that gets no requests because of an old load.
+    let server = engine();
+    let percent = |now: u64| server.offer(at(now), "hall-a", None).host_percent;
+    let answer = |host_percent, now: u64| {
+        let load = ServerLoad { running: 1, waiting: 0, slots: 8, host_percent };
+        let status = ServerStatus { load: Some(load), ..ServerStatus::default() };
+        server.record_status(&status, at(now));
+    };
+    answer(None, 0);
+    assert_eq!(percent(0), None);
+    answer(Some(100), 100);
+    answer(Some(300), 100);
+    assert_eq!(percent(1_000), Some(200));
+    answer(None, 5_000);
+    assert_eq!(percent(20_000), None);
+    answer(Some(100), 20_000);
+    assert_eq!(percent(20_000), Some(100), "the old load counts no longer");
+    let engine = EngineConfig {
+        memory_tokens: 1_000,
+        keeps_backups: false,
+        stops_runs: false,
+        token_bytes: 0,
+    };
+    // Sidecars measure the pace of engines.
+    assert_eq!(server.offer(at(20_000), "hall-a", Some(engine)).host_percent, None);
+}
+
+#[test]
+fn the_backlog_per_request_is_that_of_this_entrys_requests_over_time() {
+    let engine = Arc::new(engine());
+    let freed = Arc::default();
+    let reserve = |pending_tokens| {
+        Reservation::take(engine.clone(), 10_000, pending_tokens, Arc::clone(&freed))
+    };
+    let mean = |now: u64| {
+        let backlog = engine.prefill_backlog(at(now));
+        let service = ServiceBacklog::sum([backlog].into_iter(), at(now));
+        backlog.mean_pending_tokens(&service, at(now))
+    };
+    assert_eq!(mean(0), 0);
+    let mut reservation = reserve(9_000);
+    mean(0);
+    assert_eq!(mean(300), 9_000);
+    reservation.mark_prefilled();
+    mean(300);
+    let mean_tokens = mean(900);
+    // A third of the time, of which the earlier part counts a little less.
+    assert!((2_850..3_000).contains(&mean_tokens), "{mean_tokens}");
+}
