Show the times predicted at placement in explain

The request log line has predicted_first_ms and predicted_gap_ms, 0 while no pace is known; explain shows them if there are any.

--- a/crates/bilberryctl/src/explain.rs
+++ b/crates/bilberryctl/src/explain.rs
@@ -91,6 +91,18 @@
         );
         events.push(event(waited_ms, what));
     }
+    let predicted_first_ms = line.number("predicted_first_ms");
+    if predicted_first_ms > 0 {
+        let pauses = match line.number("predicted_gap_ms") {
+            0 => String::new(),
+            gap_ms => format!(", with pauses of up to {gap_ms} ms"),
+        };
+        let what = format!(
+            "is predicted to get its first event {predicted_first_ms} ms after its arrival (target {}){pauses}",
+            line.number("target_ms"),
+        );
+        events.push(event(waited_ms, what));
+    }
     let first_byte_ms = line.number("first_byte_ms");
     if first_byte_ms > 0 {
         let target_ms = line.number("target_ms");
--- a/crates/bilberryctl/tests/logs.rs
+++ b/crates/bilberryctl/tests/logs.rs
@@ -35,6 +35,20 @@
     insta::assert_snapshot!(text);
 }
 
+#[test]
+fn the_times_predicted_at_placement_are_shown_if_there_are_any() {
+    insta::assert_snapshot!(run(&["explain", "--logs", "entry-3.log", "d1"]), @"
+    SECONDS  PROCESS  WHAT
+    +0.000   entry-3  arrives on route checks
+    +0.030   entry-3  has waited 30 ms for a server, 0 ms of it for parts that others read
+    +0.030   entry-3  is predicted to get its first event 180 ms after its arrival (target 400), with pauses of up to 44 ms
+    +0.030   entry-3  is sent 1 times, to e1; 9000 of 9000 shared tokens supplied
+    +0.210   entry-3  gets its first event, 210 ms after its arrival (target 400)
+    +0.700   entry-3  ends: served (in time)
+    ");
+    assert!(!run(&["explain", "--logs", "entry-3.log", "d2"]).contains("predicted"));
+}
+
 #[test]
 fn a_request_missing_from_the_logs_is_reported() {
     insta::assert_snapshot!(run(&["explain", "--logs", "entry-1.log", "b9"]), @"bilberryctl: no line names the request b9; give the logs of all entries, and the id that the caller sent");
