Count the work ahead that sidecars report in predicted times

An entry knows only its own requests' prompts.

If the state from a sidecar has the work ahead (ordered admission), predictions use it, plus what this entry sent since, without requests that wait with a lower priority. Nothing sends it yet.

--- a/crates/bilberry-core/src/placement.rs
+++ b/crates/bilberry-core/src/placement.rs
@@ -133,6 +133,9 @@
     /// The prompt tokens not prefilled yet that a request in progress there has on
     /// average.
     pub mean_pending_tokens: u64,
+    /// The prompt tokens of all entries' requests there that are not prefilled yet, if its
+    /// sidecar reports them; includes what this entry sent since.
+    pub reported_pending_tokens: Option<u64>,
     /// Requests queued at it.
     pub queued: u64,
     /// Whether its weights may serve the request.
--- a/crates/bilberry-core/src/placement_time.rs
+++ b/crates/bilberry-core/src/placement_time.rs
@@ -147,12 +147,7 @@
             true => missing / FETCH_COST_DIVISOR,
             false => missing,
         };
-        // Running requests include queued ones.
-        let others = candidate.running.saturating_sub(candidate.own_running);
-        let others = others.saturating_sub(candidate.queued);
-        let ahead = candidate.pending_tokens
-            + others * candidate.mean_pending_tokens
-            + candidate.queued * QUEUED_COST_TOKENS;
+        let ahead = tokens_ahead(candidate);
         let (ahead_us, missing_us) = (prefill_us(ahead), prefill_us(missing));
         let own_us = prefill_us(request.own_tokens) + event_us;
         let first_us = request.waited_ms * 1_000 + ahead_us + missing_us + own_us;
@@ -189,6 +184,19 @@
     }
 }
 
+/// Returns the prompt tokens that an engine prefills before those of a request.
+fn tokens_ahead(candidate: &PlacementCandidate) -> u64 {
+    if let Some(tokens) = candidate.reported_pending_tokens {
+        return tokens;
+    }
+    // Running requests include queued ones.
+    let others = candidate.running.saturating_sub(candidate.own_running);
+    let others = others.saturating_sub(candidate.queued);
+    candidate.pending_tokens
+        + others * candidate.mean_pending_tokens
+        + candidate.queued * QUEUED_COST_TOKENS
+}
+
 /// Returns whether most of an answer would be worthless because its engine loads weights.
 fn is_mostly_after_load(
     request: &PlacementRequest,
--- a/crates/bilberry-core/tests/placement_pace.rs
+++ b/crates/bilberry-core/tests/placement_pace.rs
@@ -53,6 +53,17 @@
     }
 }
 
+/// What the entries of a replay know besides the running requests.
+#[derive(Debug, Copy, Clone, PartialEq)]
+enum Mode {
+    /// Nothing, so they choose by costs in tokens.
+    Tokens,
+    /// The pace of the engines.
+    Time,
+    /// The pace and the prompt tokens that are not prefilled yet.
+    TimeAndWork,
+}
+
 /// A request in the replay.
 #[derive(Debug, Clone)]
 struct Run {
@@ -95,8 +106,15 @@
     idle_since_ms: u64,
     meter: PaceMeter,
     backlogs: [PrefillBacklog; ENTRIES],
-    /// Its running requests and pace, as last sent to the entries.
-    state: (u64, Option<WorkPace>),
+    /// What was last sent to the entries.
+    state: State,
+}
+
+#[derive(Debug, Copy, Clone, Default)]
+struct State {
+    running: u64,
+    pending_tokens: u64,
+    pace: Option<WorkPace>,
 }
 
 /// What became of the requests of a replay.
@@ -119,7 +137,7 @@
 }
 
 /// Replays the arrivals of a seed with the given rates.
-fn replay(uses_pace: bool, seed: u64, short_per_s: u64, long_per_s: u64) -> Outcome {
+fn replay(mode: Mode, seed: u64, short_per_s: u64, long_per_s: u64) -> Outcome {
     let mut engines: Vec<Engine> =
         PACE_FACTORS.iter().map(|_| Engine::default()).collect();
     let mut outcome = Outcome::default();
@@ -134,7 +152,7 @@
             let draw = random(seed, &[stream as u64, now_ms]);
             if draw % 1_000 < per_s {
                 let entry = (draw / 1_000) as usize % ENTRIES;
-                let arrival = Arrival { kind, entry, attempt: draw, now_ms, uses_pace };
+                let arrival = Arrival { kind, entry, attempt: draw, now_ms, mode };
                 place(&mut engines, arrival, &mut outcome);
             }
         }
@@ -148,7 +166,7 @@
     entry: usize,
     attempt: u64,
     now_ms: u64,
-    uses_pace: bool,
+    mode: Mode,
 }
 
 fn place(engines: &mut [Engine], arrival: Arrival, outcome: &mut Outcome) {
@@ -246,7 +264,12 @@
             self.meter.record(None, &runs, false, UnixMs(now_ms));
         }
         if now_ms.is_multiple_of(STATE_EVERY_MS) {
-            self.state = (self.runs.len() as u64, self.meter.pace(UnixMs(now_ms)));
+            let unread = self.runs.iter().filter(|(_, run)| run.first_ms.is_none());
+            self.state = State {
+                running: self.runs.len() as u64,
+                pending_tokens: unread.map(|(_, run)| run.request().own_tokens).sum(),
+                pace: self.meter.pace(UnixMs(now_ms)),
+            };
         }
     }
 
@@ -267,11 +290,14 @@
         arrival: &Arrival,
         service: &ServiceBacklog,
     ) -> PlacementCandidate {
-        let &Arrival { entry, now_ms, uses_pace, .. } = arrival;
+        let &Arrival { entry, now_ms, mode, .. } = arrival;
         let state_ms = now_ms / STATE_EVERY_MS * STATE_EVERY_MS;
         let own = || self.own(entry);
-        let unseen = own().filter(|run| run.placed_ms > state_ms).count() as u64;
-        let running = (self.state.0 + unseen).max(own().count() as u64);
+        let unseen = || own().filter(|run| run.placed_ms > state_ms);
+        let unseen_tokens: u64 = unseen().map(|run| run.request().own_tokens).sum();
+        let reported_tokens = self.state.pending_tokens + unseen_tokens;
+        let unseen = unseen().count() as u64;
+        let running = (self.state.running + unseen).max(own().count() as u64);
         PlacementCandidate {
             seed: xxh3_64(&at.to_le_bytes()),
             usable: true,
@@ -279,11 +305,13 @@
             free_slots: SLOTS.saturating_sub(running),
             free_tokens: u64::MAX,
             pending_tokens: self.pending_tokens(entry),
+            reported_pending_tokens: (mode == Mode::TimeAndWork)
+                .then_some(reported_tokens),
             mean_pending_tokens: self.backlogs[entry]
                 .mean_pending_tokens(service, UnixMs(now_ms)),
             running,
             own_running: own().count() as u64,
-            pace: self.state.1.filter(|_| uses_pace),
+            pace: self.state.pace.filter(|_| mode != Mode::Tokens),
             ..PlacementCandidate::default()
         }
     }
@@ -307,23 +335,36 @@
 /// Short questions and long prompts a second.
 const CALM_PER_S: (u64, u64) = (25, 12);
 const HIGH_PER_S: (u64, u64) = (40, 20);
+const FULL_PER_S: (u64, u64) = (40, 22);
 const OVERLOAD_PER_S: (u64, u64) = (40, 34);
 
-fn compare(seed: u64, short_per_s: u64, long_per_s: u64) -> (Outcome, Outcome) {
-    let by_time = replay(true, seed, short_per_s, long_per_s);
-    let by_tokens = replay(false, seed, short_per_s, long_per_s);
-    for (name, outcome) in [("time", &by_time), ("tokens", &by_tokens)] {
+/// Replays the same arrivals in a mode and by tokens.
+fn compare(mode: Mode, seed: u64, per_s: (u64, u64)) -> (Outcome, Outcome) {
+    let modes = [mode, Mode::Tokens];
+    let outcomes = modes.map(|mode| replay(mode, seed, per_s.0, per_s.1));
+    for (mode, outcome) in modes.iter().zip(&outcomes) {
         println!(
-            "seed {seed}, by {name}: {} short and {} long in time of {}, {} rejected, slow share {:.2}, {} late long past an idle engine",
+            "{per_s:?}, seed {seed}, {mode:?}: {} short and {} long in time of {}, {} rejected, slow share {:.2}",
             outcome.in_time(Kind::ShortQuestion),
             outcome.in_time(Kind::LongPrompt),
             outcome.ended.len(),
             outcome.rejected.len(),
             outcome.slow_share(),
-            late_past_idle(outcome).count(),
         );
     }
-    (by_time, by_tokens)
+    outcomes.into()
+}
+
+fn assert_more_in_time(mode: Mode, rates: &[(u64, u64)]) {
+    for seed in SEEDS {
+        for &per_s in rates {
+            let (by_time, by_tokens) = compare(mode, seed, per_s);
+            for kind in [Kind::ShortQuestion, Kind::LongPrompt] {
+                let (time, tokens) = (by_time.in_time(kind), by_tokens.in_time(kind));
+                assert!(time > tokens, "{kind:?}: {time} by time, {tokens} by tokens");
+            }
+        }
+    }
 }
 
 fn late_past_idle(outcome: &Outcome) -> impl Iterator<Item = &Run> {
@@ -335,22 +376,19 @@
 
 #[test]
 fn more_requests_of_both_kinds_are_in_time_below_capacity() {
-    for seed in SEEDS {
-        for (short_per_s, long_per_s) in [CALM_PER_S, HIGH_PER_S] {
-            let (by_time, by_tokens) = compare(seed, short_per_s, long_per_s);
-            for kind in [Kind::ShortQuestion, Kind::LongPrompt] {
-                let (time, tokens) = (by_time.in_time(kind), by_tokens.in_time(kind));
-                assert!(time > tokens, "{kind:?}: {time} by time, {tokens} by tokens");
-            }
-        }
-    }
+    assert_more_in_time(Mode::Time, &[CALM_PER_S, HIGH_PER_S]);
+}
+
+#[test]
+fn more_are_in_time_near_capacity_if_the_work_ahead_is_reported() {
+    assert_more_in_time(Mode::TimeAndWork, &[CALM_PER_S, HIGH_PER_S, FULL_PER_S]);
 }
 
 #[test]
 fn hardly_a_long_prompt_is_late_while_another_engine_is_idle() {
     for seed in SEEDS {
         for (short_per_s, long_per_s) in [CALM_PER_S, HIGH_PER_S] {
-            let outcome = replay(true, seed, short_per_s, long_per_s);
+            let outcome = replay(Mode::Time, seed, short_per_s, long_per_s);
             let late = late_past_idle(&outcome).count();
             let long = outcome.ended.iter().filter(|run| run.kind == Kind::LongPrompt);
             assert!(late * 100 <= long.count(), "{late} at seed {seed}");
@@ -362,7 +400,7 @@
 fn slow_engines_get_their_share_in_overload() {
     // The slow third has a sixth of the capacity.
     for seed in SEEDS {
-        let (by_time, _) = compare(seed, OVERLOAD_PER_S.0, OVERLOAD_PER_S.1);
+        let (by_time, _) = compare(Mode::Time, seed, OVERLOAD_PER_S);
         let slow_share = by_time.slow_share();
         assert!((0.1..0.3).contains(&slow_share), "{slow_share} at seed {seed}");
     }
@@ -494,6 +532,7 @@
         own_running: work.3,
         queued: work.4,
         mean_pending_tokens: rest.3,
+        reported_pending_tokens: rest.2,
         weights: [
             WeightsStatus::Acceptable,
             WeightsStatus::Penalized,
--- a/crates/bilberry-gateway/src/placement.rs
+++ b/crates/bilberry-gateway/src/placement.rs
@@ -141,6 +141,7 @@
         let can_fetch = self.stores.any_reachable();
         let token_us = self.speed.token_us(&context.pool.name);
         let request = context.demand(can_fetch, token_us, now);
+        let priority = u32::from(context.priority());
         let backlogs = || upstreams.iter().map(|upstream| upstream.prefill_backlog(now));
         let backlog = self
             .has_shared_hosts(&context.pool.name)
@@ -154,6 +155,8 @@
                 candidate.usable &= !context.has_tried(upstream);
                 match &backlog {
                     Some(backlog) => {
+                        candidate.reported_pending_tokens =
+                            upstream.reported_pending_tokens(priority, now);
                         candidate.mean_pending_tokens = upstream
                             .prefill_backlog(now)
                             .mean_pending_tokens(backlog, now);
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -258,6 +258,7 @@
         live.loads_at = state.loads_in_ms.map(|in_ms| now.plus_ms(in_ms));
         live.sent_since_feed = 0;
         live.tokens_since_feed = 0;
+        live.pending_since_feed = 0;
         let is_unchanged = live
             .fresh_feed(now)
             .is_some_and(|known| known.up == state.up && known.models == state.models);
@@ -465,6 +466,7 @@
             running: in_progress,
             own_running: live.in_progress,
             mean_pending_tokens: 0,
+            reported_pending_tokens: None,
             queued,
             weights: WeightsStatus::Acceptable,
             cached_tokens: 0,
@@ -477,6 +479,16 @@
         }
     }
 
+    /// Returns the prompt tokens that it prefills before those of a new request with a
+    /// priority, if its sidecar reports them.
+    pub fn reported_pending_tokens(&self, priority: u32, now: UnixMs) -> Option<u64> {
+        let live = self.live.lock().unwrap();
+        let load = live.fresh_feed(now)?.admission.as_ref()?;
+        let ahead = load.waiting.iter().filter(|waiting| waiting.priority <= priority);
+        let waiting_tokens: u64 = ahead.map(|waiting| waiting.tokens).sum();
+        Some(load.admitted_tokens + waiting_tokens + live.pending_since_feed)
+    }
+
     /// Returns how much this entry's requests at it still have to prefill on average.
     pub fn prefill_backlog(&self, now: UnixMs) -> PrefillBacklog {
         let mut live = self.live.lock().unwrap();
--- a/crates/bilberry-gateway/src/upstream/reservation.rs
+++ b/crates/bilberry-gateway/src/upstream/reservation.rs
@@ -34,6 +34,7 @@
         live.tokens_since_feed += memory_tokens;
         live.reserved_tokens += memory_tokens;
         live.pending_tokens += pending_tokens;
+        live.pending_since_feed += pending_tokens;
         let is_probe = live.unresponsive;
         live.probes += u64::from(is_probe);
         drop(live);
--- a/crates/bilberry-gateway/tests/knowledge.rs
+++ b/crates/bilberry-gateway/tests/knowledge.rs
@@ -18,8 +18,10 @@
 use bilberry_gateway::SpeedEstimates;
 use bilberry_gateway::StoreContents;
 use bilberry_gateway::Upstream;
+use bilberry_wire::AdmissionLoad;
 use bilberry_wire::CacheChange;
 use bilberry_wire::EnginePace;
+use bilberry_wire::PriorityLoad;
 use bilberry_wire::UpstreamState;
 
 fn at(ms: u64) -> UnixMs {
@@ -283,3 +285,23 @@
     // A third of the time, of which the earlier part counts a little less.
     assert!((2_850..3_000).contains(&mean_tokens), "{mean_tokens}");
 }
+
+#[test]
+fn the_reported_work_ahead_includes_what_was_sent_since_but_not_lower_priorities() {
+    let engine = Arc::new(engine());
+    let ahead = |priority, now: u64| engine.reported_pending_tokens(priority, at(now));
+    engine.apply_state(idle(), at(0));
+    assert_eq!(ahead(9, 0), None);
+    let waiting = [(1, 500), (4, 2_000)];
+    let waiting = waiting.map(|(priority, tokens)| PriorityLoad { priority, tokens });
+    let load = AdmissionLoad { admitted_tokens: 7_000, waiting: waiting.to_vec() };
+    let state = || UpstreamState { admission: Some(load.clone()), ..idle() };
+    engine.apply_state(state(), at(0));
+    assert_eq!([ahead(0, 0), ahead(1, 0)], [Some(7_000), Some(7_500)]);
+    let reservation = Reservation::take(engine.clone(), 10_000, 9_000, Arc::default());
+    assert_eq!(ahead(4, 50), Some(18_500));
+    engine.apply_state(state(), at(100));
+    assert_eq!(ahead(4, 100), Some(9_500), "the report includes the request");
+    drop(reservation);
+    assert_eq!(ahead(4, 2_000), None, "the report is too old");
+}
