--- a/crates/bilberry-gateway/src/placement.rs
+++ b/crates/bilberry-gateway/src/placement.rs
@@ -7,9 +7,12 @@
 use bilberry_core::Name;
 use bilberry_core::PlacementCandidate;
 use bilberry_core::PlacementRequest;
+use bilberry_core::PredictedTimes;
+use bilberry_core::ServiceBacklog;
 use bilberry_core::UnixMs;
 use bilberry_core::WeightsStatus;
 use bilberry_core::choose_upstream;
+use bilberry_core::predict_times;
 use tokio::time::timeout;
 
 use crate::Dialect;
@@ -170,8 +173,14 @@
         let model = context.call.model.clone().unwrap_or_default();
         let needs_weights = context.call.model.is_some() && context.pool.engine.is_some();
         let can_fetch = self.stores.any_reachable();
-        let request = context.demand(can_fetch, self.speed.token_us(&context.pool.name));
+        let token_us = self.speed.token_us(&context.pool.name);
+        let request = context.demand(can_fetch, token_us, now);
         let is_ordered = self.is_ordered(&context.pool.name) && !attempts.is_exhausted();
+        let priority = u32::from(context.priority());
+        let backlogs = || upstreams.iter().map(|upstream| upstream.prefill_backlog(now));
+        let backlog = self
+            .has_shared_hosts(&context.pool.name)
+            .then(|| ServiceBacklog::sum(backlogs(), now));
         let mut versions = Vec::with_capacity(upstreams.len());
         let mut asks_admission = Vec::with_capacity(upstreams.len());
         let mut candidates: Vec<PlacementCandidate> = upstreams
@@ -191,6 +200,16 @@
                 candidate = admission.unwrap_or(candidate);
                 candidate.usable &=
                     !context.has_tried(upstream) && !attempts.has_rejected(upstream);
+                match &backlog {
+                    Some(backlog) => {
+                        candidate.reported_pending_tokens =
+                            upstream.reported_pending_tokens(priority, now);
+                        candidate.mean_pending_tokens = upstream
+                            .prefill_backlog(now)
+                            .mean_pending_tokens(backlog, now);
+                    }
+                    None => candidate.pace = None,
+                }
                 let version = upstream.weights(&model, now);
                 candidate.weights = self.classify_weights(version, &model, now);
                 match version {
@@ -217,14 +236,20 @@
             candidates.iter().zip(&versions).filter(|(_, other)| **other == version);
         let cached_tokens =
             same_weights.map(|(candidate, _)| candidate.cached_tokens).max();
-        let available_tokens = match version.filter(|_| asks_admission[index]) {
-            Some(version) => self.available_tokens(context, version),
-            None => 0,
+        let predicted = predict_times(&request, &candidates, index);
+        let available_tokens = match (version, predicted) {
+            (Some(version), _) if asks_admission[index] => {
+                self.available_tokens(context, version)
+            }
+            // Predictions count the work ahead, which excludes what is cached.
+            (_, Some(_)) => candidates[index].cached_tokens,
+            (_, None) => 0,
         };
         let prompt_tokens = request.shared_tokens + request.own_tokens;
         Some(Placement {
             upstream: upstreams[index].clone(),
             prefill_tokens: prompt_tokens.saturating_sub(available_tokens),
+            predicted,
             demand: request,
             weights: version,
             asks_admission: asks_admission[index],
@@ -245,7 +270,8 @@
         choice: Placement,
         admission: Option<AdmissionGuard>,
     ) -> Reservation {
-        let Placement { upstream, demand: request, weights, prefill_tokens, .. } = choice;
+        let Placement { upstream, demand, prefill_tokens, predicted, weights, .. } =
+            choice;
         let model = context.call.model.clone().unwrap_or_default();
         context.weights = weights;
         context.weights_outdated_ms =
@@ -253,8 +279,12 @@
         if context.weights_outdated_ms.is_some() {
             self.metrics.placed_on_older_weights.inc();
         }
+        context.predicted = predicted;
+        if predicted.is_some_and(|times| times.is_late) {
+            self.metrics.predicted_late.inc();
+        }
         let changed = self.upstreams.changed.clone();
-        let memory_tokens = request.memory_tokens();
+        let memory_tokens = demand.memory_tokens();
         Reservation::take(upstream, memory_tokens, prefill_tokens, changed)
             .with_admission(admission)
     }
@@ -265,6 +295,10 @@
 pub(crate) struct Placement {
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) demand: PlacementRequest,
+    /// The tokens that the upstream has to prefill for the request.
+    pub(crate) pending_tokens: u64,
+    /// The predicted times, if the pace of any upstream is known.
+    pub(crate) predicted: Option<PredictedTimes>,
     /// The version of the upstream's weights.
     pub(crate) weights: Option<u64>,
     /// The prompt tokens that the upstream has to prefill; all of them if its sidecar does
--- a/crates/bilberry-gateway/src/request_log.rs
+++ b/crates/bilberry-gateway/src/request_log.rs
@@ -68,6 +68,8 @@
         admission_wait_ms = context.admission_wait_ms,
         shared_tokens = context.call.shared_tokens(),
         supplied_tokens = context.supplied_tokens,
+        predicted_first_ms = context.predicted.map_or(0, |times| times.first_ms),
+        predicted_gap_ms = context.predicted.map_or(0, |times| times.gap_ms),
         target_ms = context.route.target_ms,
         first_byte_ms = context.first_byte_ms.unwrap_or_default(),
         total_ms = now.ms_since(context.arrived_at),
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -14,10 +14,12 @@
 use bilberry_core::Incarnation;
 use bilberry_core::Name;
 use bilberry_core::PlacementCandidate;
+use bilberry_core::PrefillBacklog;
 use bilberry_core::SidecarStatus;
 use bilberry_core::StorePosition;
 use bilberry_core::UnixMs;
 use bilberry_core::WeightsStatus;
+use bilberry_core::WorkPace;
 use bilberry_wire::Body;
 use bilberry_wire::CacheChange;
 use bilberry_wire::UpstreamState;
@@ -268,6 +270,7 @@
         live.loads_at = state.loads_in_ms.map(|in_ms| now.plus_ms(in_ms));
         live.sent_since_feed = 0;
         live.tokens_since_feed = 0;
+        live.pending_since_feed = 0;
         let is_unchanged = live
             .fresh_feed(now)
             .is_some_and(|known| known.up == state.up && known.models == state.models);
@@ -355,6 +358,9 @@
     pub fn record_status(&self, status: &ServerStatus, now: UnixMs) {
         let mut live = self.live.lock().unwrap();
         live.load = status.load.or(live.load);
+        if let Some(percent) = status.load.and_then(|load| load.host_percent) {
+            live.host_load.record(percent, now);
+        }
         if status.is_shutting_down && !live.announced_leaving {
             live.leaving = true;
             live.announced_leaving = true;
@@ -471,13 +477,39 @@
             free_tokens: total_tokens.map_or(u64::MAX, |t| t.saturating_sub(used_tokens)),
             pending_tokens: live.pending_tokens,
             running: in_progress,
+            own_running: live.in_progress,
+            mean_pending_tokens: 0,
+            reported_pending_tokens: None,
             queued,
             weights: WeightsStatus::Acceptable,
             cached_tokens: 0,
             loads_in_ms: live.loads_at.map(|at| at.ms_since(now)),
+            pace: feed.and_then(|state| state.pace).map(WorkPace::from),
+            host_percent: match engine {
+                Some(_) => None,
+                None => live.host_load.percent(now),
+            },
         }
     }
 
+    /// Returns the prompt tokens that it prefills before those of a new request with a
+    /// priority, if its sidecar reports them.
+    pub fn reported_pending_tokens(&self, priority: u32, now: UnixMs) -> Option<u64> {
+        let live = self.live.lock().unwrap();
+        let load = live.fresh_feed(now)?.admission.as_ref()?;
+        let ahead = load.waiting.iter().filter(|waiting| waiting.priority <= priority);
+        let waiting_tokens: u64 = ahead.map(|waiting| waiting.tokens).sum();
+        Some(load.admitted_tokens + waiting_tokens + live.pending_since_feed)
+    }
+
+    /// Returns how much this entry's requests at it still have to prefill on average.
+    pub fn prefill_backlog(&self, now: UnixMs) -> PrefillBacklog {
+        let mut live = self.live.lock().unwrap();
+        let (pending_tokens, running) = (live.pending_tokens, live.in_progress);
+        live.backlog.change(pending_tokens, running, now);
+        live.backlog
+    }
+
     /// Reports whether it is leaving or its sidecar reports it as down.
     pub fn is_down(&self, now: UnixMs) -> bool {
         self.live.lock().unwrap().is_down(now)
--- a/crates/bilberry-gateway/src/upstream/live.rs
+++ b/crates/bilberry-gateway/src/upstream/live.rs
@@ -2,9 +2,11 @@
 
 use std::collections::BTreeMap;
 
+use bilberry_core::HostLoadMean;
 use bilberry_core::Incarnation;
 use bilberry_core::LimitGate;
 use bilberry_core::Name;
+use bilberry_core::PrefillBacklog;
 use bilberry_core::UnixMs;
 use bilberry_wire::UpstreamState;
 
@@ -32,13 +34,17 @@
     pub(super) cache_epoch: u64,
     pub(super) loads_at: Option<UnixMs>,
     pub(super) load: Option<ServerLoad>,
+    /// The load of its host according to its answers.
+    pub(super) host_load: HostLoadMean,
     pub(super) in_progress: u64,
     pub(super) sent_since_feed: u64,
     pub(super) tokens_since_feed: u64,
     pub(super) pending_tokens: u64,
     /// Prompt tokens of requests that wait for their admission, by priority.
     pub(super) awaiting_tokens: BTreeMap<u8, u64>,
+    pub(super) pending_since_feed: u64,
     pub(super) reserved_tokens: u64,
+    pub(super) backlog: PrefillBacklog,
     pub(super) failures: u32,
     /// Until when it gets no requests after a failure or a refusal as busy.
     pub(super) backoff_until: UnixMs,
@@ -73,12 +79,15 @@
             cache_epoch: 0,
             loads_at: None,
             load: None,
+            host_load: HostLoadMean::default(),
             in_progress: 0,
             sent_since_feed: 0,
             tokens_since_feed: 0,
             pending_tokens: 0,
             awaiting_tokens: BTreeMap::new(),
+            pending_since_feed: 0,
             reserved_tokens: 0,
+            backlog: PrefillBacklog::default(),
             failures: 0,
             backoff_until: UnixMs(0),
             paused_until: UnixMs(0),
--- a/crates/bilberry-steward/src/metrics.rs
+++ b/crates/bilberry-steward/src/metrics.rs
@@ -92,6 +92,10 @@
     pub used_tokens: Gauge,
     /// Admissions of requests to the engine.
     pub admissions: AdmissionMetrics,
+    /// The engine's time to prefill a prompt token, in nanoseconds; 0 while unknown.
+    pub engine_prefill_token_ns: Gauge,
+    /// The engine's time between two events of a run, in microseconds; 0 while unknown.
+    pub event_us: Gauge,
     /// Objects of the platform's store that could not be interpreted.
     pub unreadable: UnreadableObjects,
     /// Changes of the platform store's era, which follow a restore from an older copy.
@@ -114,6 +118,8 @@
             queued: Gauge::default(),
             used_tokens: Gauge::default(),
             admissions: AdmissionMetrics::default(),
+            engine_prefill_token_ns: Gauge::default(),
+            event_us: Gauge::default(),
             unreadable: UnreadableObjects::default(),
             era_changes: EraChanges::default(),
         };
@@ -142,6 +148,11 @@
         let used = self.used_tokens.clone();
         registry.register("used_tokens", "Tokens of memory in use", used);
         self.admissions.register(&mut registry);
+        let prefill = self.engine_prefill_token_ns.clone();
+        let help = "Time to prefill a prompt token, 0 while unknown";
+        registry.register("engine_prefill_token_ns", help, prefill);
+        let help = "Time between two events of a run, 0 while unknown";
+        registry.register("event_us", help, self.event_us.clone());
         self.unreadable.register(&mut registry);
         self.era_changes.register(&mut registry);
     }
