--- a/crates/bilberry-gateway/src/placement.rs
+++ b/crates/bilberry-gateway/src/placement.rs
@@ -295,8 +295,6 @@
 pub(crate) struct Placement {
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) demand: PlacementRequest,
-    /// The tokens that the upstream has to prefill for the request.
-    pub(crate) pending_tokens: u64,
     /// The predicted times, if the pace of any upstream is known.
     pub(crate) predicted: Option<PredictedTimes>,
     /// The version of the upstream's weights.
