Leave memory and slots free for urgent requests, and keep room in turns

Requests that yield now leave free what urgent ones need within half of the shortest target, at most a quarter, until they have waited long.

--- a/crates/bilberry-core/src/engine_queue.rs
+++ b/crates/bilberry-core/src/engine_queue.rs
@@ -14,6 +14,7 @@
 mod prefill_pace;
 mod terms;
 mod tickets;
+mod urgent_demand;
 mod waiting;
 
 pub use self::engine_room::EngineCapacity;
@@ -26,6 +27,7 @@
 pub use self::terms::CallId;
 pub use self::terms::WorkAhead;
 use self::tickets::Tickets;
+use self::urgent_demand::UrgentDemand;
 use self::waiting::Waiting;
 
 /// The smallest cost of a request, in tokens.
@@ -57,12 +59,15 @@
     room: EngineRoom,
     pace: PrefillPace,
     shortest_target: ShortestTarget,
+    urgent_demand: UrgentDemand,
     shares: FairShares,
     tickets: Tickets,
     waiting: BTreeMap<CallId, Waiting>,
     arrivals: u64,
     /// The tokens that those passed over may get ahead of the order.
     passed_over_tokens: u64,
+    /// Whether room was last kept for one of those passed over.
+    last_reserved_passed_over: bool,
     /// Decisions on waiting requests that were not returned yet, in order.
     decided: Vec<(CallId, Admission)>,
 }
@@ -80,11 +85,13 @@
             room: EngineRoom::default(),
             pace: PrefillPace::new(),
             shortest_target: ShortestTarget::default(),
+            urgent_demand: UrgentDemand::default(),
             shares: FairShares::default(),
             tickets: Tickets::new(),
             waiting: BTreeMap::new(),
             arrivals: 0,
             passed_over_tokens: 0,
+            last_reserved_passed_over: false,
             decided: Vec::new(),
         }
     }
@@ -108,6 +115,9 @@
         terms.prefill_tokens = terms.prefill_tokens.min(MAX_TOKENS);
         terms.memory_tokens = terms.memory_tokens.min(MAX_TOKENS);
         self.shortest_target.record(terms.target_at.ms_since(now), now);
+        if self.has_urgent_target(terms.target_at.ms_since(now)) {
+            self.urgent_demand.record(terms.memory_tokens, now);
+        }
         self.tickets.expire(now);
         if self.waiting.len() >= MAX_WAITING && !self.displace_for(&terms, now) {
             let is_urgent = self.has_urgent_target(terms.target_at.ms_since(now));
--- a/crates/bilberry-core/src/engine_queue/engine_room.rs
+++ b/crates/bilberry-core/src/engine_queue/engine_room.rs
@@ -4,6 +4,7 @@
 
 use crate::CallId;
 use crate::UnixMs;
+use crate::engine_queue::urgent_demand::Headroom;
 
 /// The weight of one request in the mean time that requests hold their memory.
 ///
@@ -82,15 +83,21 @@
         total_tokens > 0 && memory_tokens > total_tokens
     }
 
-    /// Returns whether a request has memory and a slot now.
-    pub(super) fn has_room(&self, id: CallId, memory_tokens: u64) -> bool {
+    /// Returns whether a request has memory and a slot now and leaves some of them free.
+    pub(super) fn has_room(
+        &self,
+        id: CallId,
+        memory_tokens: u64,
+        headroom: Headroom,
+    ) -> bool {
         if self.admitted.is_empty() && self.capacity.running == 0 {
             return !self.is_too_large(memory_tokens);
         }
         let EngineCapacity { slots, total_tokens, .. } = self.capacity;
-        let has_slot = slots == 0 || (self.admitted.len() as u64) < slots;
-        let used_tokens = self.used_tokens();
-        let has_memory = total_tokens == 0 || used_tokens + memory_tokens <= total_tokens;
+        let needed_slots = self.admitted.len() as u64 + 1 + headroom.slots;
+        let has_slot = slots == 0 || needed_slots <= slots;
+        let needed_tokens = self.used_tokens() + memory_tokens + headroom.memory_tokens;
+        let has_memory = total_tokens == 0 || needed_tokens <= total_tokens;
         has_slot && has_memory && self.leaves_reservation(id, memory_tokens)
     }
 
--- a/crates/bilberry-core/src/engine_queue/order.rs
+++ b/crates/bilberry-core/src/engine_queue/order.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::EngineQueue;
+use super::urgent_demand::Headroom;
 use super::waiting::Class;
 use super::waiting::Waiting;
 use crate::AdmissionTerms;
@@ -130,16 +131,32 @@
 
     /// Returns whether a request can be admitted now.
     fn fits(&self, waiting: &Waiting, now: UnixMs) -> bool {
-        self.room.has_room(waiting.id, waiting.terms.memory_tokens)
-            && self.fits_prefill(waiting, now)
+        self.has_room(waiting, now) && self.fits_prefill(waiting, now)
+    }
+
+    /// Returns whether a request has memory and a slot now.
+    ///
+    /// One that yields leaves what urgent requests need while outstanding prefill makes them
+    /// wait, until it has waited long.
+    fn has_room(&self, waiting: &Waiting, now: UnixMs) -> bool {
+        let is_exempt =
+            self.is_urgent(waiting) || waiting.presses_at().has_passed_at(now);
+        let headroom = match is_exempt {
+            true => Headroom::default(),
+            false => {
+                let time_ms = self.shortest_target_ms() / ALLOWANCE_PART;
+                self.urgent_demand.headroom(self.room.capacity, time_ms, now)
+            }
+        };
+        self.room.has_room(waiting.id, waiting.terms.memory_tokens, headroom)
     }
 
     /// Returns whether a request whose part is exceeded can be admitted now.
     ///
     /// Urgent requests that never pause keep the outstanding prefill close to the allowance.
-    fn fits_exceeded(&self, id: CallId) -> bool {
+    fn fits_exceeded(&self, id: CallId, now: UnixMs) -> bool {
         let Some(waiting) = self.waiting.get(&id) else { return false };
-        self.room.has_room(id, waiting.terms.memory_tokens)
+        self.has_room(waiting, now)
             && self.room.outstanding_tokens() <= self.allowance_tokens()
     }
 
@@ -156,20 +173,30 @@
     }
 
     /// Keeps room for the next request if it lacks room and has waited a part of its time.
+    ///
+    /// The first in the order and those passed over take turns.
     fn update_reservation(&mut self, order: &[Ordered], now: UnixMs) {
         let Some(first) = order.first().filter(|_| self.room.reserved().is_none()) else {
             return;
         };
         let passed_over = self.due_passed_over(first.class, order);
-        let next = [passed_over, Some(*first)].into_iter().flatten();
-        let next = next.filter_map(|ordered| self.waiting.get(&ordered.id));
-        let is_due = |waiting: &&Waiting| {
-            waiting.reserves_at().has_passed_at(now)
-                && !self.room.has_room(waiting.id, waiting.terms.memory_tokens)
+        let mut next = [(passed_over, true), (Some(*first), false)];
+        if self.last_reserved_passed_over {
+            next.reverse();
+        }
+        let next = next.into_iter().filter_map(|(ordered, is_passed_over)| {
+            Some((self.waiting.get(&ordered?.id)?, is_passed_over))
+        });
+        let is_due = |waiting: &Waiting| {
+            waiting.reserves_at().has_passed_at(now) && !self.has_room(waiting, now)
         };
-        let wanted = next.filter(is_due).map(|w| (w.id, w.terms.memory_tokens)).next();
-        if wanted.is_some() {
-            self.room.reserve(wanted);
+        let mut due = next.filter(|(waiting, _)| is_due(waiting));
+        let wanted = due.next().map(|(waiting, is_passed_over)| {
+            ((waiting.id, waiting.terms.memory_tokens), is_passed_over)
+        });
+        if let Some((wanted, is_passed_over)) = wanted {
+            self.room.reserve(Some(wanted));
+            self.last_reserved_passed_over = is_passed_over;
         }
     }
 
@@ -185,7 +212,7 @@
         });
         let urgent = order.iter().take_while(|o| !o.class.yields && !is_exceeded);
         if let Some(oldest) = passed_over.filter(|_| is_exceeded)
-            && self.fits_exceeded(oldest.id)
+            && self.fits_exceeded(oldest.id, now)
         {
             return Some(oldest);
         }
@@ -196,8 +223,8 @@
             if (may_pass || !ordered.class.yields) && self.fits(waiting, now) {
                 return Some(*ordered);
             }
-            may_pass &= !waiting.reserves_at().has_passed_at(now)
-                || !self.room.has_room(waiting.id, waiting.terms.memory_tokens);
+            may_pass &=
+                !waiting.reserves_at().has_passed_at(now) || !self.has_room(waiting, now);
         }
         None
     }
