--- a/crates/bilberry-core/tests/engine_queue.rs
+++ b/crates/bilberry-core/tests/engine_queue.rs
@@ -398,18 +398,19 @@
 #[test]
 fn the_number_of_waiting_requests_is_bounded_and_each_customer_keeps_its_share() {
     let mut queue = busy_queue();
-    let patient = |customer: &str| {
+    let slow_target = |customer: &str| {
         let terms = of(customer, long(1, 0));
         AdmissionTerms { target_at: at(50_000), start_by: at(100_000), ..terms }
     };
-    let waiting = (2..2_000)
-        .take_while(|call| is_queued(queue.request(id(*call), patient("heavy"), at(0))));
+    let waiting = (2..2_000).take_while(|call| {
+        is_queued(queue.request(id(*call), slow_target("heavy"), at(0)))
+    });
     let count = waiting.count();
     assert!(count < 1_000, "{count}");
     assert_eq!(queue.waiting_count(), count);
-    assert!(is_queued(queue.request(id(5_000), patient("light"), at(0))));
+    assert!(is_queued(queue.request(id(5_000), slow_target("light"), at(0))));
     assert_eq!(rejected(&mut queue, 0), [count as u64 + 1]);
-    let low = AdmissionTerms { priority: 1, ..patient("other") };
+    let low = AdmissionTerms { priority: 1, ..slow_target("other") };
     assert!(is_rejected(queue.request(id(5_001), low, at(0))));
     assert_eq!(queue.waiting_count(), count);
 }
--- a/crates/bilberry-steward/src/admission.rs
+++ b/crates/bilberry-steward/src/admission.rs
@@ -28,9 +28,9 @@
 use crate::AdmissionMetrics;
 use crate::EngineState;
 
-/// The time without rejections after which the log says that they have stopped.
+/// The time without rejections after which their end is logged.
 ///
-/// On-call engineers see one line for a surge, also if some of its seconds are quiet.
+/// On-call engineers need one line for a surge, also if some of its seconds are quiet.
 const REJECTIONS_END_MS: u64 = 5_000;
 
 /// The time after which a caller of an engine that serves no requests should return.
@@ -225,8 +225,9 @@
         self.queue.record_engine(self.engine, now);
     }
 
-    /// Returns whether the engine was started again; its cache's epoch tells it for engines
-    /// that don't report their start.
+    /// Returns whether the engine was started again.
+    ///
+    /// Engines that don't report their start are identified by the epoch of their cache.
     fn is_new_incarnation(&self, started_at_ms: Option<u64>, cache_epoch: u64) -> bool {
         match (self.started_at_ms, started_at_ms) {
             (Some(before), Some(now)) => before != now,
