--- a/crates/bilberry-core/src/engine_queue.rs
+++ b/crates/bilberry-core/src/engine_queue.rs
@@ -11,6 +11,7 @@
 mod engine_room;
 mod fair_shares;
 mod order;
+mod predicted_waits;
 mod prefill_pace;
 mod terms;
 mod tickets;
