--- a/crates/bilberry-core/src/engine_queue.rs
+++ b/crates/bilberry-core/src/engine_queue.rs
@@ -11,9 +11,11 @@
 mod engine_room;
 mod fair_shares;
 mod order;
+mod predicted_waits;
 mod prefill_pace;
 mod terms;
 mod tickets;
+mod urgent_demand;
 mod waiting;
 
 pub use self::engine_room::EngineCapacity;
@@ -25,6 +27,7 @@
 pub use self::terms::CallId;
 pub use self::terms::WorkAhead;
 use self::tickets::Tickets;
+use self::urgent_demand::UrgentDemand;
 use self::waiting::Waiting;
 
 /// The smallest cost of a request, in tokens.
@@ -62,12 +65,15 @@
     pace: PrefillPace,
     /// The shortest target latency of the routes to the service, as last stated.
     shortest_target_ms: Option<u64>,
+    urgent_demand: UrgentDemand,
     shares: FairShares,
     tickets: Tickets,
     waiting: BTreeMap<CallId, Waiting>,
     arrivals: u64,
     /// The tokens that those passed over may get ahead of the order.
     passed_over_tokens: u64,
+    /// Whether room was last kept for one of those passed over.
+    last_reserved_passed_over: bool,
     /// Decisions on waiting requests that were not returned yet, in order.
     decided: Vec<(CallId, Admission)>,
 }
@@ -85,11 +91,13 @@
             room: EngineRoom::default(),
             pace: PrefillPace::new(),
             shortest_target_ms: None,
+            urgent_demand: UrgentDemand::default(),
             shares: FairShares::default(),
             tickets: Tickets::new(),
             waiting: BTreeMap::new(),
             arrivals: 0,
             passed_over_tokens: 0,
+            last_reserved_passed_over: false,
             decided: Vec::new(),
         }
     }
@@ -113,6 +121,9 @@
         terms.prefill_tokens = terms.prefill_tokens.min(MAX_TOKENS);
         terms.memory_tokens = terms.memory_tokens.min(MAX_TOKENS);
         self.shortest_target_ms = Some(terms.shortest_target_ms.max(MIN_TARGET_MS));
+        if self.has_urgent_target(terms.target_ms) {
+            self.urgent_demand.record(terms.memory_tokens, now);
+        }
         self.tickets.expire(now);
         if self.waiting.len() >= MAX_WAITING && !self.displace_for(&terms, now) {
             let is_urgent = self.has_urgent_target(terms.target_ms);
