End the places of a suspended entry at a sidecar

A suspended entry reports neither the prefill nor the end of its requests, and its connection stays open: with eight of its long prompts admitted, the sidecar rejected the short requests of another entry with 503 after 4 s. An entry that has asked for admissions now repeats its notice every 500 ms, and the sidecar ends the connection of one that sends nothing for 1.5 s. The test with a suspended entry failed before, and passed with the short requests answered within 50 ms; a test with a cut link passed, too.

--- a/crates/bilberry-gateway/src/feeds.rs
+++ b/crates/bilberry-gateway/src/feeds.rs
@@ -29,6 +29,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 use tokio_util::codec::Framed;
@@ -55,6 +56,13 @@
 /// How long a sidecar may send nothing; it repeats its state three times as often.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// The interval at which an entry repeats its notice to a sidecar that it has asked for
+/// admissions.
+///
+/// A sidecar ends the places of an entry that sends nothing for three times as long, as
+/// callers of the other entries need them.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The capacity of the queue of notices to one sidecar. Notices beyond it are dropped,
 /// as the engine's own events report the same later.
 const NOTICE_QUEUE_CAPACITY: usize = 64;
@@ -175,6 +183,7 @@
     let mut last_notice = None;
     let mut summaries = gateway.subscribe_to_pool_summaries();
     let mut deadline = Instant::now() + IDLE_TIMEOUT;
+    let mut repeat_at = Instant::now();
     let mut current: Option<Arc<Upstream>> = None;
     // Crash reports are replayed, as a sidecar that has restarted knows of none.
     for notice in gateway.crashes.notices(gateway.clock.now()) {
@@ -226,6 +235,14 @@
                 framed.send(pending_charges.register(question)).await?;
                 continue;
             }
+            _ = sleep_until(repeat_at), if pending_admissions.has_asked => {
+                if let Some(notice) = last_notice.clone() {
+                    let body = Some(Body::EntryNotice(notice));
+                    framed.send(Frame { body, ..Frame::default() }).await?;
+                }
+                repeat_at = Instant::now() + REPEAT_INTERVAL;
+                continue;
+            }
             Some(message) = queued_admissions.recv() => {
                 framed.send(pending_admissions.register(message)).await?;
                 continue;
@@ -355,6 +372,8 @@
 /// The requests that wait for the decision of a sidecar on their admission, by call id.
 #[derive(Debug, Default)]
 struct PendingAdmissions {
+    /// Whether there has been a request.
+    has_asked: bool,
     responses: HashMap<u64, mpsc::Sender<AdmissionResponse>>,
 }
 
@@ -364,6 +383,7 @@
         let (call, body) = match message {
             AdmissionMessage::Request { call, request, responses, space } => {
                 drop(space);
+                self.has_asked = true;
                 self.responses.insert(call, responses);
                 (call, Body::AdmissionRequest(request))
             }
--- a/crates/bilberry-steward/src/feed.rs
+++ b/crates/bilberry-steward/src/feed.rs
@@ -1,5 +1,6 @@
 //! Publishing the engine's state to entries.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -59,6 +60,13 @@
 /// An unchanged state is sent often enough that a lost host is detected in this time.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// How long an entry that has asked for admissions may send nothing; it repeats its notice
+/// three times as often.
+///
+/// A suspended entry does not report the progress of its requests, and callers of the
+/// other entries need the places.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// The maximum number of connected entries.
 const MAX_ENTRIES: u64 = 1_024;
 
@@ -159,6 +167,8 @@
     let mut presence = EntryPresence::new(feed.quotas.clone());
     let mut interest = feed.run_interest.connect();
     let mut admissions = feed.admissions.connect();
+    let mut asks_admissions = false;
+    let mut received_at = Instant::now();
     let (known_crashes, mut crashes) = feed.crashes.subscribe(feed.clock.now());
     for notice in known_crashes {
         send(&mut framed, Body::CrashNotice(notice)).await?;
@@ -237,8 +247,12 @@
                 Some(answer) = watches.next(), if !watches.is_empty() => {
                     framed.send(answer).await?;
                 }
+                _ = sleep_until(received_at + SILENCE_TIMEOUT), if asks_admissions => {
+                    return Err(std::io::Error::from(ErrorKind::TimedOut).into());
+                }
                 frame = framed.next() => {
                     let Some(frame) = frame else { return Ok(()) };
+                    received_at = Instant::now();
                     let Frame { call, body, .. } = frame?;
                     let notice = match body {
                         Some(Body::EntryNotice(notice)) => notice,
@@ -260,6 +274,7 @@
                             continue;
                         }
                         Some(Body::AdmissionRequest(request)) => {
+                            asks_admissions = true;
                             let response = admissions.request(call, &request);
                             let body = Some(Body::AdmissionResponse(response));
                             framed.send(Frame { call, body, ..Frame::default() }).await?;
