--- a/crates/bilberry-gateway/tests/admission.rs
+++ b/crates/bilberry-gateway/tests/admission.rs
@@ -142,6 +142,8 @@
     sidecar: mpsc::UnboundedSender<Command>,
     requests: mpsc::UnboundedReceiver<(u64, AdmissionRequest)>,
     updates: mpsc::UnboundedReceiver<(u64, AdmissionStage)>,
+    /// The number of notices that the sidecar has received from the entry.
+    notices: Arc<AtomicU32>,
 }
 
 impl Engine {
@@ -156,7 +158,14 @@
         let (commands, received) = mpsc::unbounded_channel();
         let (requests, requested) = mpsc::unbounded_channel();
         let (updates, updated) = mpsc::unbounded_channel();
-        tokio::spawn(serve_sidecar(sidecar, received, requests, updates));
+        let notices = Arc::new(AtomicU32::new(0));
+        tokio::spawn(serve_sidecar(
+            sidecar,
+            received,
+            requests,
+            updates,
+            notices.clone(),
+        ));
         let id = format!("engine-{number}");
         Self {
             id,
@@ -165,6 +174,7 @@
             sidecar: commands,
             requests: requested,
             updates: updated,
+            notices,
         }
     }
 
@@ -246,6 +256,7 @@
     mut commands: mpsc::UnboundedReceiver<Command>,
     requests: mpsc::UnboundedSender<(u64, AdmissionRequest)>,
     updates: mpsc::UnboundedSender<(u64, AdmissionStage)>,
+    notices: Arc<AtomicU32>,
 ) {
     let (stream, _) = listener.accept().await.expect("failed to accept");
     let mut framed = Framed::new(stream, FrameCodec::new());
@@ -281,6 +292,9 @@
                     Some(Body::AdmissionUpdate(update)) => {
                         let _ = updates.send((call, update.stage()));
                     }
+                    Some(Body::EntryNotice(_)) => {
+                        notices.fetch_add(1, Ordering::Relaxed);
+                    }
                     _ => {}
                 }
                 None
@@ -495,6 +509,24 @@
     assert_eq!(deployment.runs("a"), 1);
 }
 
+#[tokio::test]
+async fn an_entry_that_has_asked_repeats_its_notice() {
+    // Guards against a sidecar that takes an entry without new requests for suspended, and
+    // ends its places.
+    let mut deployment = Deployment::start(1, policy(300, 1_000)).await;
+    let sent = deployment.send("a");
+    deployment.engines[0].admit().await;
+    assert_served(sent).await;
+    let notices = || deployment.engines[0].notices.load(Ordering::Relaxed);
+    let before = notices();
+    let began = Instant::now();
+    while notices() < before + 3 {
+        assert!(began.elapsed() < STEP_TIMEOUT, "{} notices", notices() - before);
+        sleep(Duration::from_millis(10)).await;
+    }
+    assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
+}
+
 #[tokio::test]
 async fn slots_in_use_do_not_keep_a_request_from_the_sidecar() {
     // Guards against entries that queue requests themselves, where no sidecar can order
