Bound the bytes of bodies that an entry holds

An entry of 88 MB could be filled by 22 request bodies of 4 MiB or by a dozen callers that read nothing of a long answer. With Limits.MemoryMb set, an entry counts request and response bytes, refuses a body that does not fit with 503 before it reads it, relays responses that do not fit instead of buffering them, sends one chunk at a time to each stream above the watermark and is unready there. Without the setting nothing is counted.

The other adapter tests were not run.

--- a/crates/bilberry-gateway/src/lib.rs
+++ b/crates/bilberry-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod forward;
 mod gateway;
 mod held_back;
+mod held_buffers;
 mod hubs;
 mod known_crashes;
 mod listing;
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -7,7 +7,6 @@
 use bilberry_core::Clock;
 use bilberry_core::EventSplitter;
 use bilberry_core::RetryKind;
-use bilberry_node::BodyChunk;
 use bilberry_node::ResponseBody;
 use bytes::Bytes;
 use futures_util::FutureExt;
@@ -21,7 +20,6 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::TRANSFER_ENCODING;
-use tokio::sync::mpsc;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -30,9 +28,9 @@
 use crate::Gateway;
 use crate::RequestContext;
 use crate::Upstream;
-use crate::body_relay::BODY_CHANNEL_CAPACITY;
 use crate::body_relay::BodyEnd;
 use crate::forward::UpstreamResponse;
+use crate::held_buffers::StreamSender;
 use crate::run_stop::FirstRunEnd;
 use crate::run_stop::RunTakeover;
 use crate::run_stop::STOP_REPLY_TIMEOUT;
@@ -89,12 +87,9 @@
         mut context: RequestContext,
         response: UpstreamResponse,
     ) -> Response<ResponseBody> {
-        let (pieces, body) = mpsc::channel(BODY_CHANNEL_CAPACITY);
-        let head = self.caller_response(
-            response.http.status(),
-            response.http.headers(),
-            ResponseBody::Stream(body),
-        );
+        let (pieces, body) = self.held_buffers.stream();
+        let head =
+            self.caller_response(response.http.status(), response.http.headers(), body);
         tokio::spawn(async move {
             let ended = self.relay_stream(&mut context, response, &pieces).await;
             if ended == BodyEnd::CallerLeft {
@@ -105,7 +100,7 @@
                 self.record_pace(&context);
                 // Without this final piece the caller's connection is closed, which
                 // shows the caller that its stream is incomplete.
-                let _ = pieces.send(BodyChunk::End).await;
+                pieces.end().await;
             }
         });
         head
@@ -115,7 +110,7 @@
         self: &Arc<Self>,
         context: &mut RequestContext,
         response: UpstreamResponse,
-        pieces: &mpsc::Sender<BodyChunk>,
+        pieces: &StreamSender,
     ) -> BodyEnd {
         let mut splitter = EventSplitter::new();
         let mut response = response;
@@ -189,7 +184,7 @@
         context: &mut RequestContext,
         response: &mut UpstreamResponse,
         splitter: &mut EventSplitter,
-        pieces: &mpsc::Sender<BodyChunk>,
+        pieces: &StreamSender,
     ) -> RelayEnd {
         let silence_ms =
             context.route.gap_ms.map_or(DEFAULT_SILENCE_MS, |g| g * SILENCE_GAP_FACTOR);
@@ -245,8 +240,9 @@
                 self.record_prompt_read(context, &mut response.reservation);
             }
             let Some(events) = splitter.push(&bytes) else { continue };
-            if pieces.send(BodyChunk::Data(events)).await.is_err() {
-                return RelayEnd::Finished(BodyEnd::CallerLeft);
+            let left = context.deadline.remaining(self.clock.now());
+            if let Err(end) = pieces.send(events, left).await {
+                return RelayEnd::Finished(end);
             }
         }
     }
