--- a/crates/bilberry-gateway/src/connections.rs
+++ b/crates/bilberry-gateway/src/connections.rs
@@ -49,12 +49,6 @@
 /// A request sent while the upstream closes the connection would be lost.
 const IDLE_MARGIN_MS: u64 = 700;
 
-/// The size of the read buffer of a connection if the entry's memory is bounded.
-///
-/// A chunk of a response is at most as large, and a slow reader holds several. The head of
-/// a response must fit as well.
-const SMALL_READ_BUFFER_BYTES: usize = 32 * 1024;
-
 /// Why a request did not get a response.
 #[derive(Debug, Error)]
 pub enum SendError {
@@ -90,7 +84,6 @@
 #[derive(Debug)]
 pub struct ConnectionPool<C> {
     clock: C,
-    has_small_buffers: bool,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
@@ -118,12 +111,7 @@
 impl<C: Clock> ConnectionPool<C> {
     /// Creates an empty pool.
     pub fn new(clock: C) -> Self {
-        Self { clock, has_small_buffers: false, idle: Mutex::new(HashMap::new()) }
-    }
-
-    /// Gives new connections small read buffers if `has_small_buffers` is set.
-    pub(crate) fn with_small_buffers(self, has_small_buffers: bool) -> Self {
-        Self { has_small_buffers, ..self }
+        Self { clock, idle: Mutex::new(HashMap::new()) }
     }
 
     /// Returns a connection, preferably an idle one if `reuse` is set.
@@ -134,11 +122,6 @@
     ) -> Result<Connection, SendError> {
         match reuse.then(|| self.take_idle(address)).flatten() {
             Some(connection) => Ok(connection),
-            None if self.has_small_buffers => {
-                let mut builder = http1::Builder::new();
-                builder.max_buf_size(SMALL_READ_BUFFER_BYTES);
-                Ok(connect_with(address, &builder).await?)
-            }
             None => Ok(connect(address).await?),
         }
     }
@@ -206,13 +189,6 @@
 
 /// Opens a new connection.
 pub(crate) async fn connect(address: SocketAddr) -> Result<Connection, ConnectError> {
-    connect_with(address, &http1::Builder::new()).await
-}
-
-async fn connect_with(
-    address: SocketAddr,
-    builder: &http1::Builder,
-) -> Result<Connection, ConnectError> {
     let connecting = TcpStream::connect(address);
     let stream =
         match timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), connecting).await {
@@ -223,7 +199,7 @@
     set_tcp_options(&stream);
     enable_keepalive(&stream);
     reset_on_close(&stream);
-    let handshake = builder.handshake(TokioIo::new(stream)).await;
+    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
     let failed = |error: hyper::Error| ConnectError::Failed(error.to_string());
     let (sender, connection) = handshake.map_err(failed)?;
     let driver = tokio::spawn(async move {
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -37,7 +37,6 @@
 use crate::Upstream;
 use crate::Upstreams;
 use crate::held_back::WaitingRequests;
-use crate::held_buffers::HeldBuffers;
 use crate::known_crashes::KnownCrashes;
 use crate::pool_summary::PoolSummaries;
 use crate::quota_client::QuotaClient;
@@ -86,7 +85,6 @@
     pub(crate) crashes: KnownCrashes,
     pub(crate) quotas: QuotaClient,
     pub(crate) waiting: WaitingRequests,
-    pub(crate) held_buffers: HeldBuffers,
     pub(crate) speed: SpeedEstimates,
     pub(crate) shared_hosts: SharedHosts,
     pub(crate) readings: Mutex<PrefillsInProgress>,
@@ -118,7 +116,6 @@
             sidecars: SidecarPresenceMap::default(),
             crashes: KnownCrashes::default(),
             waiting: WaitingRequests::default(),
-            held_buffers: HeldBuffers::default(),
             speed: SpeedEstimates::default(),
             shared_hosts: SharedHosts::default(),
             readings: Mutex::default(),
@@ -134,17 +131,6 @@
         }
     }
 
-    /// Bounds the bytes of bodies that the entry holds by the memory of its process, if
-    /// that is known.
-    pub fn with_memory_bytes(self, memory_bytes: Option<u64>) -> Self {
-        let gauge = self.metrics.held_bytes.clone();
-        Self {
-            held_buffers: HeldBuffers::new(memory_bytes, gauge),
-            connections: self.connections.with_small_buffers(memory_bytes.is_some()),
-            ..self
-        }
-    }
-
     /// Returns the active configuration.
     pub fn policy(&self) -> Option<Arc<Policy>> {
         self.policy.load_full()
@@ -218,8 +204,7 @@
             None => true,
         };
         let knows_all = self.policy().is_some() && self.upstreams.is_list_complete();
-        let has_memory = !self.held_buffers.is_over_watermark();
-        !self.is_stopping() && knows_all && fresh && has_memory
+        !self.is_stopping() && knows_all && fresh
     }
 
     /// Reports whether the configuration is fresh enough for new callers.
--- a/crates/bilberry-gateway/src/lib.rs
+++ b/crates/bilberry-gateway/src/lib.rs
@@ -15,7 +15,6 @@
 mod forward;
 mod gateway;
 mod held_back;
-mod held_buffers;
 mod hubs;
 mod known_crashes;
 mod listing;
--- a/crates/bilberry-gateway/src/metrics.rs
+++ b/crates/bilberry-gateway/src/metrics.rs
@@ -71,8 +71,6 @@
     pub unreadable: UnreadableObjects,
     /// Restores of the platform's store from an older copy.
     pub era_changes: EraChanges,
-    /// Bytes of bodies held for callers and upstreams, if they are bounded.
-    pub held_bytes: Gauge,
     /// Log lines that were dropped.
     pub dropped_lines: Counter,
 }
@@ -105,7 +103,6 @@
             orders: Family::default(),
             unreadable: UnreadableObjects::default(),
             era_changes: EraChanges::default(),
-            held_bytes: Gauge::default(),
             dropped_lines: Counter::default(),
         };
         metrics.register();
@@ -158,8 +155,6 @@
         registry.register("orders", "Orders to load weights", self.orders.clone());
         self.unreadable.register(&mut registry);
         self.era_changes.register(&mut registry);
-        let held = self.held_bytes.clone();
-        registry.register("held_bytes", "Bytes of bodies held, if bounded", held);
         let dropped = self.dropped_lines.clone();
         registry.register("dropped_lines", "Log lines dropped", dropped);
     }
--- a/crates/bilberry-gateway/src/plain_response.rs
+++ b/crates/bilberry-gateway/src/plain_response.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 
 use bilberry_core::Clock;
+use bilberry_node::BodyChunk;
 use bilberry_node::ResponseBody;
 use bytes::Bytes;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::Response;
+use tokio::sync::mpsc;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -15,10 +17,9 @@
 use crate::Gateway;
 use crate::Refusal;
 use crate::RequestContext;
+use crate::body_relay::BODY_CHANNEL_CAPACITY;
 use crate::body_relay::BodyEnd;
 use crate::forward::UpstreamResponse;
-use crate::held_buffers::HeldCharge;
-use crate::held_buffers::StreamSender;
 
 /// The largest plain response that is buffered in full before it is relayed.
 ///
@@ -42,8 +43,7 @@
         self.record_prompt_read(context, &mut response.reservation);
         let left = context.deadline.remaining(self.clock.now());
         let mut read = BytesMut::new();
-        let mut charge = self.held_buffers.charge();
-        let buffering = buffer_body(&mut response, &mut read, &mut charge);
+        let buffering = buffer_body(&mut response, &mut read);
         let is_complete = match timeout(left, buffering).await {
             Ok(Ok(is_complete)) => is_complete,
             Ok(Err(error)) => {
@@ -58,7 +58,7 @@
         if !is_complete {
             return Ok(PlainResponse::Partial(response, buffered));
         }
-        let body = ResponseBody::full(charge.hold(buffered));
+        let body = ResponseBody::full(buffered);
         let head = response.http.headers();
         let complete = self.caller_response(response.http.status(), head, body);
         self.keep_connection(response);
@@ -74,8 +74,9 @@
         mut response: UpstreamResponse,
         buffered: Bytes,
     ) -> Response<ResponseBody> {
-        let (pieces, body) = self.held_buffers.stream();
+        let (pieces, body) = mpsc::channel(BODY_CHANNEL_CAPACITY);
         let head = response.http.headers();
+        let body = ResponseBody::Stream(body);
         let started = self.caller_response(response.http.status(), head, body);
         tokio::spawn(async move {
             let ended =
@@ -86,7 +87,7 @@
             self.record_outcome(&context, ended.outcome());
             if ended == BodyEnd::Complete {
                 self.keep_connection(response);
-                pieces.end().await;
+                let _ = pieces.send(BodyChunk::End).await;
             }
         });
         started
@@ -97,13 +98,12 @@
         context: &RequestContext,
         response: &mut UpstreamResponse,
         buffered: Bytes,
-        pieces: &StreamSender,
+        pieces: &mpsc::Sender<BodyChunk>,
     ) -> BodyEnd {
         let mut next = buffered;
         loop {
-            let left = context.deadline.remaining(self.clock.now());
-            if let Err(end) = pieces.send(next, left).await {
-                return end;
+            if pieces.send(BodyChunk::Data(next)).await.is_err() {
+                return BodyEnd::CallerLeft;
             }
             let left = context.deadline.remaining(self.clock.now());
             let frame = tokio::select! {
@@ -123,20 +123,16 @@
     }
 }
 
-/// Reads a body up to the buffer limit or the entry's bound on held bytes; returns false
-/// if there is more.
+/// Reads a body up to the buffer limit; returns false if there is more.
 async fn buffer_body(
     response: &mut UpstreamResponse,
     read: &mut BytesMut,
-    charge: &mut HeldCharge,
 ) -> Result<bool, hyper::Error> {
-    let mut is_full = false;
     while let Some(frame) = response.http.body_mut().frame().await {
         if let Ok(data) = frame?.into_data() {
             read.extend_from_slice(&data);
-            is_full = !charge.try_add(data.len());
         }
-        if read.len() > MAX_BUFFERED_BYTES || is_full {
+        if read.len() > MAX_BUFFERED_BYTES {
             return Ok(false);
         }
     }
--- a/crates/bilberry-gateway/src/refusal.rs
+++ b/crates/bilberry-gateway/src/refusal.rs
@@ -26,9 +26,6 @@
     /// The body is too large.
     #[error("the body is over {0} bytes; shorten it")]
     BodyTooLarge(usize),
-    /// The body does not fit into the entry's memory at present.
-    #[error("this entry has no memory for the body now; come back on a new connection")]
-    NoMemory,
     /// The body did not arrive completely.
     #[error("the body did not arrive whole; send it again")]
     BodyIncomplete,
@@ -94,7 +91,6 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::QuotaExceeded { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::NotReady
-            | Self::NoMemory
             | Self::KeysUnconfirmed
             | Self::NoCapacity
             | Self::NoWeights
@@ -120,7 +116,6 @@
             Self::BodyTooLarge(_) => "large_body",
             Self::BodyIncomplete => "broken_body",
             Self::NotReady => "not_ready",
-            Self::NoMemory => "no_memory",
             Self::KeysUnconfirmed => "keys_unsure",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
@@ -146,10 +141,7 @@
                 headers.insert(RETRY_AFTER, value);
             }
         }
-        if matches!(
-            self,
-            Self::NotReady | Self::NoMemory | Self::KeysUnconfirmed | Self::QuotaUnknown
-        ) {
+        if matches!(self, Self::NotReady | Self::KeysUnconfirmed | Self::QuotaUnknown) {
             // A new connection may lead the caller to an entry with fresher state.
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -8,6 +8,7 @@
 use bilberry_core::Clock;
 use bilberry_core::EventSplitter;
 use bilberry_core::RetryKind;
+use bilberry_node::BodyChunk;
 use bilberry_node::ResponseBody;
 use bytes::Bytes;
 use futures_util::FutureExt;
@@ -21,6 +22,7 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::TRANSFER_ENCODING;
+use tokio::sync::mpsc;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -29,9 +31,9 @@
 use crate::Gateway;
 use crate::RequestContext;
 use crate::Upstream;
+use crate::body_relay::BODY_CHANNEL_CAPACITY;
 use crate::body_relay::BodyEnd;
 use crate::forward::UpstreamResponse;
-use crate::held_buffers::StreamSender;
 use crate::run_query::AwaitedRun;
 use crate::run_query::GivenUp;
 use crate::run_query::SLOW;
@@ -102,9 +104,12 @@
         mut context: RequestContext,
         response: UpstreamResponse,
     ) -> Response<ResponseBody> {
-        let (pieces, body) = self.held_buffers.stream();
-        let head =
-            self.caller_response(response.http.status(), response.http.headers(), body);
+        let (pieces, body) = mpsc::channel(BODY_CHANNEL_CAPACITY);
+        let head = self.caller_response(
+            response.http.status(),
+            response.http.headers(),
+            ResponseBody::Stream(body),
+        );
         tokio::spawn(async move {
             let ended = self.relay_stream(&mut context, response, &pieces).await;
             if ended == BodyEnd::CallerLeft {
@@ -115,7 +120,7 @@
                 self.record_pace(&context);
                 // Without this final piece the caller's connection is closed, which
                 // shows the caller that its stream is incomplete.
-                pieces.end().await;
+                let _ = pieces.send(BodyChunk::End).await;
             }
         });
         head
@@ -125,7 +130,7 @@
         self: &Arc<Self>,
         context: &mut RequestContext,
         response: UpstreamResponse,
-        pieces: &StreamSender,
+        pieces: &mpsc::Sender<BodyChunk>,
     ) -> BodyEnd {
         let mut splitter = EventSplitter::new();
         let mut response = response;
@@ -208,7 +213,7 @@
         context: &mut RequestContext,
         response: &mut UpstreamResponse,
         splitter: &mut EventSplitter,
-        pieces: &StreamSender,
+        pieces: &mpsc::Sender<BodyChunk>,
         was_slow: &AtomicBool,
     ) -> RelayEnd {
         let silence_ms =
@@ -279,9 +284,8 @@
                 self.record_prompt_read(context, &mut response.reservation);
             }
             let Some(events) = splitter.push(&bytes) else { continue };
-            let left = context.deadline.remaining(self.clock.now());
-            if let Err(end) = pieces.send(events, left).await {
-                return RelayEnd::Finished(end);
+            if pieces.send(BodyChunk::Data(events)).await.is_err() {
+                return RelayEnd::Finished(BodyEnd::CallerLeft);
             }
         }
     }
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -11,12 +11,10 @@
 use bilberry_node::HttpHandler;
 use bilberry_node::ReadBodyError;
 use bilberry_node::ResponseBody;
-use bilberry_node::discard_body;
-use bilberry_node::read_admitted_body;
+use bilberry_node::read_body;
 use bytes::Bytes;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HOST;
@@ -206,35 +204,19 @@
 
     async fn read_request_body(
         &self,
-        mut body: Incoming,
+        body: Incoming,
         policy: &Policy,
         context: &RequestContext,
     ) -> Result<Bytes, Refusal> {
         let max_bytes = policy.limits.body_bytes;
         let left_ms = context.deadline.ms_since(self.clock.now());
-        let wait_ms = left_ms.min(BODY_TIMEOUT_MS);
-        let declared_bytes = body.size_hint().lower();
-        let mut charge = self.held_buffers.charge();
-        let is_declared_too_large = declared_bytes > max_bytes as u64;
-        let read = match is_declared_too_large || self.held_buffers.fits(declared_bytes) {
-            true => {
-                let admit = |bytes| charge.try_add(bytes);
-                read_admitted_body(&mut body, max_bytes, wait_ms, admit).await
+        read_body(body, max_bytes, left_ms.min(BODY_TIMEOUT_MS)).await.map_err(|error| {
+            match error {
+                ReadBodyError::TooLarge(max_bytes) => Refusal::BodyTooLarge(max_bytes),
+                ReadBodyError::Timeout(_) => Refusal::DeadlineBeforeSend,
+                ReadBodyError::Incomplete => Refusal::BodyIncomplete,
             }
-            false => Ok(None),
-        };
-        match read {
-            Ok(Some(read)) => Ok(charge.hold(read)),
-            Ok(None) => {
-                tokio::spawn(discard_body(body, max_bytes, wait_ms));
-                Err(Refusal::NoMemory)
-            }
-            Err(ReadBodyError::TooLarge(max_bytes)) => {
-                Err(Refusal::BodyTooLarge(max_bytes))
-            }
-            Err(ReadBodyError::Timeout(_)) => Err(Refusal::DeadlineBeforeSend),
-            Err(ReadBodyError::Incomplete) => Err(Refusal::BodyIncomplete),
-        }
+        })
     }
 
     fn refuse_early(&self, attempt: &str, refusal: &Refusal) -> Response<ResponseBody> {
--- a/crates/bilberry-node/src/http.rs
+++ b/crates/bilberry-node/src/http.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::Request;
@@ -193,53 +192,6 @@
     }
 }
 
-/// Reads a complete body as [`read_body`] does, as long as `admit` accepts the size of
-/// each part; returns `None` if it does not.
-pub async fn read_admitted_body(
-    body: &mut Incoming,
-    max_bytes: usize,
-    wait_ms: u64,
-    mut admit: impl FnMut(usize) -> bool,
-) -> Result<Option<Bytes>, ReadBodyError> {
-    let reading = async {
-        let mut read = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|_| ReadBodyError::Incomplete)?;
-            let Ok(data) = frame.into_data() else { continue };
-            if read.len() + data.len() > max_bytes {
-                return Err(ReadBodyError::TooLarge(max_bytes));
-            }
-            if !admit(data.len()) {
-                return Ok(None);
-            }
-            read.extend_from_slice(&data);
-        }
-        Ok(Some(read.freeze()))
-    };
-    match timeout(Duration::from_millis(wait_ms), reading).await {
-        Ok(read) => read,
-        Err(_) => Err(ReadBodyError::Timeout(wait_ms)),
-    }
-}
-
-/// Reads and discards a body up to a size and a time.
-///
-/// A connection that is closed with unread data is reset, and its client may lose the
-/// response.
-pub async fn discard_body(mut body: Incoming, max_bytes: usize, wait_ms: u64) {
-    let discarding = async {
-        let mut left = max_bytes;
-        while let Some(Ok(frame)) = body.frame().await {
-            let bytes = frame.into_data().map_or(0, |data| data.len());
-            match left.checked_sub(bytes) {
-                Some(rest) => left = rest,
-                None => return,
-            }
-        }
-    };
-    let _ = timeout(Duration::from_millis(wait_ms), discarding).await;
-}
-
 /// Returns a response with a JSON body.
 pub fn json_response<T: Serialize>(
     status: StatusCode,
--- a/crates/bilberry-steward/src/engine_controller.rs
+++ b/crates/bilberry-steward/src/engine_controller.rs
@@ -4,12 +4,8 @@
 use std::time::Duration;
 
 use bilberry_core::Clock;
-use bilberry_core::HaltedRuns;
 use bilberry_core::Incarnation;
 use bilberry_core::IncarnationOrder;
-use bilberry_core::LoadMoment;
-use bilberry_core::LoadTurn;
-use bilberry_core::MemoryUse;
 use bilberry_core::PaceMeter;
 use bilberry_core::Rollout;
 use bilberry_core::UnixMs;
@@ -91,7 +87,6 @@
     /// The incarnation that the other fields refer to, if known.
     incarnation: Option<Incarnation>,
     rollout: Rollout,
-    load_moment: LoadMoment,
     failed_polls: u32,
     /// The accepted order whose load has not completed yet.
     accepted_order: Option<AcceptedOrder>,
@@ -108,7 +103,6 @@
         Self {
             incarnation: None,
             rollout: Rollout::new(outdated_weights_max_ms),
-            load_moment: LoadMoment::new(outdated_weights_max_ms),
             failed_polls: 0,
             accepted_order: None,
             plan: None,
@@ -287,12 +281,9 @@
             self.cache.observe_incarnation(incarnation);
         }
         self.record_completed_load(report, state, now);
-        self.observe_runs(report, next_load.as_ref(), state, now);
+        let queued = report.queued;
         let is_due = |load: &NextLoad| {
-            load.starts_at <= now
-                && may_start_load(load.planned_at, report.queued, now)
-                && (report.runs.is_none()
-                    || state.load_moment.may_start(load.turn(), now))
+            load.starts_at <= now && may_start_load(load.planned_at, queued, now)
         };
         if let Some(load) = next_load.filter(|load| !report.busy && is_due(load)) {
             self.send_order(report, &load, state).await;
@@ -335,23 +326,6 @@
         pace
     }
 
-    /// Records the runs of a report, if it has any, for the moment of the next load.
-    fn observe_runs(
-        &self,
-        report: &EngineReport,
-        next_load: Option<&NextLoad>,
-        state: &mut PollState,
-        now: UnixMs,
-    ) {
-        let Some(runs) = &report.runs else { return };
-        let EngineReport { used_tokens, total_tokens, .. } = *report;
-        let memory = MemoryUse { used_tokens, total_tokens };
-        state.load_moment.observe(runs, memory, now);
-        if let Some(load) = next_load.filter(|load| load.is_imminent(now)) {
-            state.load_moment.announce(load.turn());
-        }
-    }
-
     /// Returns the load that brings outdated weights of the engine up to date.
     ///
     /// The load is scheduled from the first version that the engine missed, and loads the
@@ -449,37 +423,6 @@
             Ok(Err(_)) | Err(_) => ("no_answer", ORDER_RETRY_DELAY_MS),
         };
         self.metrics.count_order(outcome);
-        self.log_order(outcome, report, load, now);
-        state.next_order_at = now.plus_ms(delay_ms);
-        if matches!(reply, Ok(Ok(OrderReply::Accepted))) {
-            let version = load.weights.version;
-            state.accepted_order = Some(AcceptedOrder { version, sent_at: now });
-            let halted = report.runs.as_deref().map(HaltedRuns::count);
-            self.metrics.count_halted(halted.unwrap_or_default());
-            self.publish(|published| published.upstream.loading = true);
-        }
-    }
-
-    fn log_order(
-        &self,
-        outcome: &str,
-        report: &EngineReport,
-        load: &NextLoad,
-        now: UnixMs,
-    ) {
-        let Some(halted) = report.runs.as_deref().map(HaltedRuns::count) else {
-            log::info!(
-                target: "weights",
-                model = load.weights.model.as_str(),
-                version = load.weights.version,
-                expected = report.orders,
-                running = report.running,
-                queued = report.queued,
-                lacking_ms = now.ms_since(load.outdated_since);
-                "order {outcome}"
-            );
-            return;
-        };
         log::info!(
             target: "weights",
             model = load.weights.model.as_str(),
@@ -487,12 +430,15 @@
             expected = report.orders,
             running = report.running,
             queued = report.queued,
-            decoding = halted.decoding as u64,
-            prefilling = halted.prefilling as u64,
-            waited_ms = now.ms_since(load.planned_at),
             lacking_ms = now.ms_since(load.outdated_since);
             "order {outcome}"
         );
+        state.next_order_at = now.plus_ms(delay_ms);
+        if matches!(reply, Ok(Ok(OrderReply::Accepted))) {
+            let version = load.weights.version;
+            state.accepted_order = Some(AcceptedOrder { version, sent_at: now });
+            self.publish(|published| published.upstream.loading = true);
+        }
     }
 
     fn publish(&self, change: impl FnOnce(&mut EngineState)) {
@@ -519,11 +465,6 @@
 }
 
 impl NextLoad {
-    fn turn(&self) -> LoadTurn {
-        let Self { planned_at, outdated_since, .. } = *self;
-        LoadTurn { outdated_since, planned_at }
-    }
-
     fn is_imminent(&self, now: UnixMs) -> bool {
         self.starts_at <= now.plus_ms(DRAIN_MS)
     }
--- a/crates/bilberry-steward/src/metrics.rs
+++ b/crates/bilberry-steward/src/metrics.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Mutex;
 
-use bilberry_core::HaltedRuns;
 use bilberry_node::EraChanges;
 use bilberry_node::UnreadableObjects;
 use bilberry_node::render_metrics;
@@ -67,21 +66,12 @@
     }
 }
 
-/// The label of the counter of halted runs.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct PhaseLabel {
-    /// The phase of the run: `decode` or `prefill`.
-    pub phase: &'static str,
-}
-
 /// All metrics of a sidecar.
 #[derive(Debug)]
 pub struct SidecarMetrics {
     registry: Mutex<Registry>,
     /// Orders to load weights, by outcome.
     pub orders: Family<OrderLabel, Counter>,
-    /// Runs that were halted by weight loads, by phase, if the engine's runs are known.
-    pub halted_runs: Family<PhaseLabel, Counter>,
     /// Weight loads that were planned or rescheduled.
     pub plans: Counter,
     /// The duration of weight loads.
@@ -118,7 +108,6 @@
         let metrics = Self {
             registry: Mutex::new(Registry::with_prefix("bilberry")),
             orders: Family::default(),
-            halted_runs: Family::default(),
             plans: Counter::default(),
             load_seconds: Histogram::new(LOAD_BUCKETS_S),
             unanswered: Counter::default(),
@@ -141,8 +130,6 @@
     fn register(&self) {
         let mut registry = self.registry.lock().unwrap();
         registry.register("orders", "Orders to load weights", self.orders.clone());
-        let halted = self.halted_runs.clone();
-        registry.register("halted_runs", "Runs halted by loads of weights", halted);
         let plans = self.plans.clone();
         registry.register("load_plans", "Loads planned or planned anew", plans);
         let loads = self.load_seconds.clone();
@@ -175,14 +162,6 @@
         self.orders.get_or_create(&OrderLabel { outcome }).inc();
     }
 
-    /// Counts the runs that a load halts.
-    pub fn count_halted(&self, halted: HaltedRuns) {
-        let counts = [("decode", halted.decoding), ("prefill", halted.prefilling)];
-        for (phase, count) in counts.into_iter().filter(|&(_, count)| count > 0) {
-            self.halted_runs.get_or_create(&PhaseLabel { phase }).inc_by(count as u64);
-        }
-    }
-
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         render_metrics(&self.registry)
--- a/crates/bilberryd/src/hosted.rs
+++ b/crates/bilberryd/src/hosted.rs
@@ -148,7 +148,7 @@
     let callers = settings.callers.ok_or(PlatformRunError::NoAddress("callers"))?;
     let readiness = settings.readiness.ok_or(PlatformRunError::NoAddress("readiness"))?;
     let clock = BootClock::new();
-    let gateway = Gateway::new(
+    let gateway = Arc::new(Gateway::new(
         PlatformDialect,
         clock,
         GatewaySettings {
@@ -166,8 +166,7 @@
                 slack: settings.quota_slack,
             },
         },
-    );
-    let gateway = Arc::new(gateway.with_memory_bytes(settings.memory_bytes));
+    ));
     let era_changes = gateway.metrics.era_changes.clone();
     let store = ObjectStore::new(settings.store, era_changes);
     let config = ConfigFollower {
