Mend what the review of admissions and run progress found

- Only streams ask for an admission: the end of a prefill doesn't show in plain answers, and decoding would count as prefill.
- A response that is no success ends its admission at once; a kept failure no longer holds prefill at its engine while the request runs elsewhere, and is no sample of the speed.
- A sidecar withdraws requests whose engine restarts, leaves or is down, in place of rejecting them, so the entry places them again whatever it knows of the engine.
- Callers are told to return within the time for which they honour it, so that their ticket is valid.
- A run that counts as lost is left only if another engine can take it, and before the longest silence only if its engine has stalled.

--- a/crates/bilberry-core/src/engine_queue.rs
+++ b/crates/bilberry-core/src/engine_queue.rs
@@ -222,10 +222,10 @@
         self.pace.us_per_token()
     }
 
-    /// Forgets the admitted requests and rejects the waiting ones, as the engine was
+    /// Forgets the admitted requests and withdraws the waiting ones, as the engine was
     /// started again.
     pub fn reset(&mut self) {
-        self.reject_waiting();
+        self.withdraw_waiting();
         let slots = self.room.capacity.slots;
         self.room = EngineRoom::default();
         self.room.capacity.slots = slots;
@@ -233,12 +233,11 @@
         self.passed_over_tokens = 0;
     }
 
-    /// Rejects all waiting requests, as the engine can't serve them.
-    pub fn reject_waiting(&mut self) {
-        let rejected = Admission::Rejected { retry_after_ms: MIN_RETRY_AFTER_MS };
+    /// Withdraws all waiting requests, as the engine can't serve them.
+    pub fn withdraw_waiting(&mut self) {
         while let Some((&id, _)) = self.waiting.first_key_value() {
             self.remove_unserved(id);
-            self.decided.push((id, rejected));
+            self.decided.push((id, Admission::Withdrawn));
         }
     }
 
@@ -289,14 +288,16 @@
         retry_after_ms: u64,
         now: UnixMs,
     ) -> Admission {
-        let retry_after_ms = retry_after_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
+        let longest_ms =
+            terms.max_return_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
+        let retry_after_ms = retry_after_ms.clamp(MIN_RETRY_AFTER_MS, longest_ms);
         let earliest = now.plus_ms(retry_after_ms);
         let tokens = terms.prefill_tokens;
         let return_at = match is_urgent {
             true => self.tickets.issue(terms.key, tokens, earliest),
             false => {
                 let prefill_ms = self.pace.yielding_time_ms(tokens);
-                let latest = now.plus_ms(MAX_RETRY_AFTER_MS);
+                let latest = now.plus_ms(longest_ms);
                 let return_at = self.tickets.book(prefill_ms, earliest, latest);
                 self.tickets.issue(terms.key, tokens, return_at)
             }
--- a/crates/bilberry-core/src/engine_queue/terms.rs
+++ b/crates/bilberry-core/src/engine_queue/terms.rs
@@ -40,6 +40,8 @@
     pub memory_tokens: u64,
     /// The key shared by all attempts of the request.
     pub key: RequestKey,
+    /// The longest time after which its caller returns if it is told to.
+    pub max_return_ms: u64,
     /// The target latency of its route.
     pub target_ms: u64,
     /// The shortest target latency of the routes to the engine's service.
@@ -56,6 +58,8 @@
         /// The predicted time until it is admitted.
         wait_ms: u64,
     },
+    /// The engine serves no requests; another may take it at once.
+    Withdrawn,
     /// It can't be served in time and will not be admitted.
     Rejected {
         /// The time after which its caller should return.
--- a/crates/bilberry-core/tests/engine_queue_replay.rs
+++ b/crates/bilberry-core/tests/engine_queue_replay.rs
@@ -244,6 +244,7 @@
                 prefill_tokens: tokens,
                 memory_tokens: tokens + 400,
                 key: RequestKey(key),
+                max_return_ms: 60_000,
                 target_ms,
                 shortest_target_ms: SHORT_TARGET_MS,
             };
@@ -307,6 +308,7 @@
                     assert!(capacity.used_tokens <= load.total_tokens, "{capacity:?}");
                     assert!(capacity.running <= SLOTS, "{capacity:?}");
                 }
+                Admission::Withdrawn => panic!("the engine is up: {attempt:?}"),
                 Admission::Rejected { retry_after_ms } => {
                     attempt.rejected_at = Some(now);
                     if load.returns {
--- a/crates/bilberry-gateway/src/admission.rs
+++ b/crates/bilberry-gateway/src/admission.rs
@@ -25,6 +25,7 @@
 use crate::RequestContext;
 use crate::Upstream;
 use crate::placement::Placement;
+use crate::serve::max_retry_after_ms;
 
 /// The largest number of admission requests to one sidecar that are yet to be sent.
 ///
@@ -283,6 +284,10 @@
             };
             match response.outcome() {
                 AdmissionOutcome::Queued => *is_queued = true,
+                AdmissionOutcome::Withdrawn => {
+                    guard.is_open = false;
+                    return AdmissionResult::Withdrawn;
+                }
                 AdmissionOutcome::Rejected => {
                     guard.is_open = false;
                     // The engine went down or began to load, and others may take it.
@@ -315,6 +320,7 @@
             priority: context.priority().into(),
             target_in_ms: target_at.ms_since(now),
             max_wait_ms: until.ms_since(now),
+            max_return_ms: max_retry_after_ms(context.deadline.ms_since(until)),
             prefill_tokens: choice.prefill_tokens,
             memory_tokens: choice.demand.memory_tokens(),
             slots: choice.upstream.slots(),
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -233,6 +233,7 @@
             max_silence: max_wait,
             is_observed: self.observes_runs(&context.pool.name),
             was_slow: &was_slow,
+            retry: RetryKind::Resend,
         };
         let sent = tokio::select! {
             sent = connection.send(request) => sent,
@@ -281,7 +282,7 @@
         let silent = run.upstream;
         let given_up = self.wait_until_given_up(context, run).await;
         silent.record_failure(self.clock.now());
-        while !self.can_send_elsewhere(context) {
+        while !self.can_send_elsewhere(context, RetryKind::Resend) {
             sleep(ALTERNATIVE_POLL_INTERVAL).await;
         }
         given_up
@@ -289,7 +290,11 @@
 
     /// Reports whether the retry budget and the capacity of an untried upstream allow
     /// another send.
-    fn can_send_elsewhere(&self, context: &RequestContext) -> bool {
+    pub(crate) fn can_send_elsewhere(
+        &self,
+        context: &RequestContext,
+        retry: RetryKind,
+    ) -> bool {
         let now = self.clock.now();
         let upstreams = self.upstreams.of(&context.pool.name);
         let mut untried = upstreams.iter().filter(|other| !context.has_tried(other));
@@ -297,8 +302,7 @@
             let offer = other.offer(now, &self.settings.data_centre, context.pool.engine);
             offer.usable && offer.free_slots > 0
         };
-        untried.any(has_capacity)
-            && self.may_spend_retry(&context.pool.name, RetryKind::Resend)
+        untried.any(has_capacity) && self.may_spend_retry(&context.pool.name, retry)
     }
 
     /// Sends the request to the engine that holds a backup of its KV cache.
@@ -356,6 +360,10 @@
         match verdict {
             ResponseClass::Valid => {
                 reservation.upstream.record_answer();
+                let mut reservation = reservation;
+                if !response.status().is_success() {
+                    reservation.end_admission();
+                }
                 SendOutcome::Responded(Box::new(UpstreamResponse {
                     http: response,
                     connection,
--- a/crates/bilberry-gateway/src/placement.rs
+++ b/crates/bilberry-gateway/src/placement.rs
@@ -175,7 +175,10 @@
         let can_fetch = self.stores.any_reachable();
         let token_us = self.speed.token_us(&context.pool.name);
         let request = context.demand(can_fetch, token_us, now);
-        let is_ordered = self.is_ordered(&context.pool.name) && !attempts.is_exhausted();
+        // The end of the prefill shows only in streams.
+        let is_ordered = context.route.kind.is_stream()
+            && self.is_ordered(&context.pool.name)
+            && !attempts.is_exhausted();
         let priority = u32::from(context.priority());
         let backlogs = || upstreams.iter().map(|upstream| upstream.prefill_backlog(now));
         let backlog = self
--- a/crates/bilberry-gateway/src/policy.rs
+++ b/crates/bilberry-gateway/src/policy.rs
@@ -182,14 +182,14 @@
 }
 
 impl Policy {
-    /// Returns the services of engines some of whose requests can yield to others and
+    /// Returns the services of engines some of whose streams can yield to others and
     /// still be in time, with the shortest target latency of each.
     pub fn ordered_pools(
         routes: &HashMap<Name, Vec<Arc<Route>>>,
         pools: &HashMap<Name, Arc<Pool>>,
     ) -> HashMap<Name, u64> {
-        let routes = || routes.values().flatten();
-        let targets = routes().flat_map(|route| {
+        let streams = || routes.values().flatten().filter(|route| route.kind.is_stream());
+        let targets = streams().flat_map(|route| {
             route.targets.iter().map(|(pool, _)| (pool, route.target_ms))
         });
         let is_engine =
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -233,6 +233,7 @@
                 max_silence: silence,
                 is_observed,
                 was_slow,
+                retry: RetryKind::Resume,
             };
             let may_resume = self.may_run_after(context, context.runs + 1);
             let left = context.deadline.remaining(self.clock.now());
--- a/crates/bilberry-gateway/src/run_query.rs
+++ b/crates/bilberry-gateway/src/run_query.rs
@@ -8,6 +8,7 @@
 use bilberry_core::Clock;
 use bilberry_core::LossReason;
 use bilberry_core::Name;
+use bilberry_core::RetryKind;
 use bilberry_core::RunStatus;
 use bilberry_core::STALL_MS;
 use bilberry_core::SilenceVerdict;
@@ -104,6 +105,8 @@
     pub(crate) is_observed: bool,
     /// Set once the run was slow and was waited for.
     pub(crate) was_slow: &'a AtomicBool,
+    /// How the request would be sent to another upstream.
+    pub(crate) retry: RetryKind,
 }
 
 impl<D: Dialect, C: Clock> Gateway<D, C> {
@@ -117,7 +120,7 @@
         context: &RequestContext,
         run: AwaitedRun<'_>,
     ) -> GivenUp {
-        let AwaitedRun { upstream, max_silence, is_observed, was_slow } = run;
+        let AwaitedRun { upstream, max_silence, is_observed, was_slow, retry } = run;
         if !is_observed {
             sleep(max_silence).await;
             return GivenUp::TimedOut;
@@ -137,7 +140,15 @@
             let verdict = self.judge_run(context, upstream, silent).await;
             let is_overdue = silent >= max_silence;
             match verdict {
-                Some(SilenceVerdict::Lost(reason)) => return GivenUp::Lost(reason),
+                Some(SilenceVerdict::Lost(reason))
+                    if (is_overdue || reason == LossReason::EngineStalled)
+                        && self.can_send_elsewhere(context, retry) =>
+                {
+                    log_lost_run(&context.call.attempt, upstream, silent, reason);
+                    return GivenUp::Lost(reason);
+                }
+                // The engine may go on, and no other could take the run.
+                Some(SilenceVerdict::Lost(_)) => next_query_in = QUERY_INTERVAL,
                 Some(SilenceVerdict::KeepWaiting) if is_overdue => {
                     if !was_slow.swap(true, Ordering::Relaxed) {
                         log_slow_run(&context.call.attempt, upstream, silent);
@@ -169,20 +180,26 @@
             Some(SilenceVerdict::Lost(reason)) => reason.label(),
             None => "unknown",
         });
-        if let Some(SilenceVerdict::Lost(reason)) = verdict {
-            log::warn!(
-                target: "stream",
-                request = context.call.attempt.as_str(),
-                upstream = upstream.id.as_str(),
-                silent_ms = silent.as_millis() as u64,
-                reason = reason.label();
-                "silent run is lost"
-            );
-        }
         verdict
     }
 }
 
+fn log_lost_run(
+    attempt: &Name,
+    upstream: &Upstream,
+    silent: Duration,
+    reason: LossReason,
+) {
+    log::warn!(
+        target: "stream",
+        request = attempt.as_str(),
+        upstream = upstream.id.as_str(),
+        silent_ms = silent.as_millis() as u64,
+        reason = reason.label();
+        "silent run is lost"
+    );
+}
+
 /// Queries the sidecar of an upstream about a run; `None` if its progress is unknown.
 async fn query_run(upstream: &Upstream, attempt: &Name) -> Option<RunStatus> {
     let (reply, replied) = oneshot::channel();
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -276,6 +276,11 @@
     (wait_ms, wait_ms + (wait_ms / WAIT_SPREAD_DIVISOR).max(RETRY_AFTER_RANGE_MS.0))
 }
 
+/// Returns the longest retry delay for a caller with `left_ms` remaining.
+pub(crate) fn max_retry_after_ms(left_ms: u64) -> u64 {
+    left_ms / RETRY_AFTER_DIVISOR
+}
+
 /// Returns the retry delay for a caller that sidecars rejected, with a small jitter.
 ///
 /// Sidecars let it go ahead of newcomers when it returns, so it may return on time.
@@ -284,7 +289,7 @@
     let after_ms = retry_after_ms.unwrap_or(default).max(min);
     let spread_ms = (after_ms / ADMISSION_SPREAD_DIVISOR).min(ADMISSION_SPREAD_MAX_MS);
     let jitter_ms = rand::random_range(0..=spread_ms);
-    (after_ms + jitter_ms).min((left_ms / RETRY_AFTER_DIVISOR).max(min))
+    (after_ms + jitter_ms).min(max_retry_after_ms(left_ms).max(min))
 }
 
 /// Returns a random retry delay for a caller for which no upstream has the weights.
--- a/crates/bilberry-gateway/src/upstream/reservation.rs
+++ b/crates/bilberry-gateway/src/upstream/reservation.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Ends the admission, as the upstream will not prefill the prompt.
+    pub(crate) fn end_admission(&mut self) {
+        self.admission = None;
+    }
+
     fn release_pending(&mut self) {
         let pending = std::mem::take(&mut self.pending_tokens);
         self.upstream.live.lock().unwrap().pending_tokens -= pending;
--- a/crates/bilberry-steward/src/admission.rs
+++ b/crates/bilberry-steward/src/admission.rs
@@ -33,9 +33,6 @@
 /// On-call engineers need one line for a surge, also if some of its seconds are quiet.
 const REJECTIONS_END_MS: u64 = 5_000;
 
-/// The time after which a caller of an engine that serves no requests should return.
-const RETRY_AFTER_MS: u64 = 100;
-
 /// Decides on the admission of requests to the engine.
 #[derive(Debug)]
 pub struct AdmissionControl<C> {
@@ -189,6 +186,7 @@
         match decision {
             Admission::Admitted => self.metrics.count("admitted"),
             Admission::Queued { .. } => self.metrics.count("queued"),
+            Admission::Withdrawn => self.metrics.count("withdrawn"),
             Admission::Rejected { retry_after_ms } => {
                 self.metrics.count("rejected");
                 if state.record_rejection(retry_after_ms, now) {
@@ -215,7 +213,7 @@
         };
         self.is_serving = upstream.up && !upstream.leaving;
         if !self.is_serving {
-            self.queue.reject_waiting();
+            self.queue.withdraw_waiting();
         }
         self.engine = EngineCapacity {
             slots: self.engine.slots,
@@ -248,7 +246,7 @@
         now: UnixMs,
     ) -> Admission {
         if !self.is_serving {
-            return Admission::Rejected { retry_after_ms: RETRY_AFTER_MS };
+            return Admission::Withdrawn;
         }
         if request.slots > 0 && request.slots != self.engine.slots {
             self.engine.slots = request.slots;
@@ -262,6 +260,7 @@
             prefill_tokens: request.prefill_tokens,
             memory_tokens: request.memory_tokens,
             key: RequestKey(request.key),
+            max_return_ms: request.max_return_ms,
             target_ms: request.target_ms,
             shortest_target_ms: request.shortest_target_ms,
         };
@@ -302,6 +301,7 @@
     let (outcome, wait_ms) = match decision {
         Admission::Admitted => (AdmissionOutcome::Admitted, 0),
         Admission::Queued { wait_ms } => (AdmissionOutcome::Queued, wait_ms),
+        Admission::Withdrawn => (AdmissionOutcome::Withdrawn, 0),
         Admission::Rejected { retry_after_ms } => {
             (AdmissionOutcome::Rejected, retry_after_ms)
         }
--- a/crates/bilberry-wire/src/admission.rs
+++ b/crates/bilberry-wire/src/admission.rs
@@ -36,6 +36,9 @@
     /// The shortest target latency of the routes to the engine's service.
     #[prost(uint64, tag = "10")]
     pub shortest_target_ms: u64,
+    /// The longest time after which the caller returns if it is told to, in milliseconds.
+    #[prost(uint64, tag = "11")]
+    pub max_return_ms: u64,
 }
 
 /// The decision on an [`AdmissionRequest`]; a queued request gets a second one later.
@@ -60,6 +63,8 @@
     Admitted = 1,
     /// The request waits for its turn.
     Queued = 2,
+    /// The engine serves no requests; another may take the request at once.
+    Withdrawn = 3,
 }
 
 /// Reports the progress of a request to the sidecar that admitted or queued it.
