Rename placement's reservation and names that the reviews stopped at

acquire_seat -> acquire_reservation, take_seat -> reserve, patience_ms -> timeout_ms (serve.rs), Upstream::await_admission -> count_awaiting, pace.rs RunProgress -> RunCounters, neighbour_factor -> other_work_factor.

--- a/crates/bilberry-core/src/pace.rs
+++ b/crates/bilberry-core/src/pace.rs
@@ -34,7 +34,7 @@
 
 /// The number of tokens from which the prefill time is reported.
 ///
-/// Callers mind the first event of long prompts, which have more tokens than this.
+/// The target of long prompts is for their first event, and they have more tokens than this.
 const MIN_MEASURED_TOKENS: f64 = 500.0;
 
 /// The number of events from which the time per event is reported.
@@ -170,18 +170,18 @@
 #[derive(Debug, Clone)]
 struct EarlierReport {
     at: UnixMs,
-    runs: Vec<(Name, RunProgress)>,
+    runs: Vec<(Name, RunCounters)>,
 }
 
 #[derive(Debug, Copy, Clone)]
-struct RunProgress {
+struct RunCounters {
     memory_tokens: u64,
     events: u64,
 }
 
 impl EarlierReport {
     fn new(runs: &[ObservedRun], at: UnixMs) -> Self {
-        let progress = |run: &ObservedRun| RunProgress {
+        let progress = |run: &ObservedRun| RunCounters {
             memory_tokens: run.memory_tokens,
             events: run.events,
         };
@@ -192,7 +192,7 @@
     }
 
     /// Returns the earlier progress of a run, unless its counters went back since.
-    fn run(&self, run: &ObservedRun) -> Option<RunProgress> {
+    fn run(&self, run: &ObservedRun) -> Option<RunCounters> {
         let at = self.runs.binary_search_by(|(name, _)| name.cmp(&run.attempt)).ok()?;
         let before = self.runs[at].1;
         let went_back =
--- a/crates/bilberry-core/tests/pace.rs
+++ b/crates/bilberry-core/tests/pace.rs
@@ -119,7 +119,7 @@
 }
 
 #[test]
-fn short_slowdowns_by_neighbours_count_by_their_share_of_the_time() {
+fn short_slowdowns_by_other_work_count_by_their_share_of_the_time() {
     let mut engine = SimulatedEngine::new();
     // 2.5 times slower for a fifth of the time takes 1.14 times as long for the work.
     engine.serve(10, |ms| if ms % 700 < 140 { 2.5 } else { 1.0 });
--- a/crates/bilberry-core/tests/placement_pace.rs
+++ b/crates/bilberry-core/tests/placement_pace.rs
@@ -143,7 +143,7 @@
     let mut outcome = Outcome::default();
     for now_ms in 1..REPLAY_MS {
         for (at, engine) in engines.iter_mut().enumerate() {
-            let factor = PACE_FACTORS[at] * neighbour_factor(seed, at, now_ms);
+            let factor = PACE_FACTORS[at] * other_work_factor(seed, at, now_ms);
             engine.work(now_ms, factor, &mut outcome);
             engine.publish(now_ms);
         }
@@ -318,7 +318,7 @@
 }
 
 /// Neighbours on a host slow its engine 2.5 times for a tenth of the time.
-fn neighbour_factor(seed: u64, engine: usize, now_ms: u64) -> f64 {
+fn other_work_factor(seed: u64, engine: usize, now_ms: u64) -> f64 {
     match random(seed, &[99, engine as u64, now_ms / 200]) % 10 {
         0 => 2.5,
         _ => 1.0,
--- a/crates/bilberry-gateway/src/admission.rs
+++ b/crates/bilberry-gateway/src/admission.rs
@@ -260,7 +260,7 @@
         let respond_by = now.plus_ms(FIRST_RESPONSE_TIMEOUT_MS);
         let request = self.admission_request(context, choice, until, now);
         let (priority, tokens) = (context.priority(), choice.prefill_tokens);
-        let _awaited = upstream.await_admission(priority, tokens);
+        let _awaited = upstream.count_awaiting(priority, tokens);
         let pending = upstream.admission_queue().and_then(|queue| queue.request(request));
         let Some((mut guard, mut responses)) = pending else {
             return AdmissionResult::Unavailable;
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -105,7 +105,7 @@
         failed: &mut Option<UpstreamResponse>,
     ) -> Result<UpstreamResponse, Refusal> {
         loop {
-            let reservation = self.acquire_seat(context).await?;
+            let reservation = self.acquire_reservation(context).await?;
             self.check_quarantine(context)?;
             let upstream = reservation.upstream.clone();
             match self.send(context, reservation).await {
--- a/crates/bilberry-gateway/src/placement.rs
+++ b/crates/bilberry-gateway/src/placement.rs
@@ -43,7 +43,7 @@
 
 impl<D: Dialect, C: Clock> Gateway<D, C> {
     /// Waits for an upstream with capacity and reserves it.
-    pub(crate) async fn acquire_seat(
+    pub(crate) async fn acquire_reservation(
         &self,
         context: &mut RequestContext,
     ) -> Result<Reservation, Refusal> {
@@ -90,7 +90,7 @@
                     let upstream = &choice.upstream;
                     let is_admitted = admission.is_some();
                     if self.acquire_permit(context, upstream, is_admitted).await {
-                        break Ok(self.take_seat(context, choice, admission));
+                        break Ok(self.reserve(context, choice, admission));
                     }
                     continue;
                 };
@@ -267,7 +267,7 @@
     }
 
     /// Reserves capacity at the chosen upstream.
-    fn take_seat(
+    fn reserve(
         &self,
         context: &mut RequestContext,
         choice: Placement,
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -161,8 +161,8 @@
         let target = route.target(xxh3_64(call.attempt.as_bytes()));
         let pool = target.and_then(|pool| policy.pools.get(pool)).cloned();
         let pool = pool.ok_or(Refusal::NoCapacity)?;
-        let patience_ms = call.timeout_ms.unwrap_or(route.timeout_ms);
-        let deadline = arrived_at.plus_ms(patience_ms.min(route.timeout_ms));
+        let timeout_ms = call.timeout_ms.unwrap_or(route.timeout_ms);
+        let deadline = arrived_at.plus_ms(timeout_ms.min(route.timeout_ms));
         let context = RequestContext {
             call,
             route,
--- a/crates/bilberry-gateway/src/upstream/admission.rs
+++ b/crates/bilberry-gateway/src/upstream/admission.rs
@@ -29,7 +29,7 @@
     }
 
     /// Counts the prompt tokens of a request that waits for its admission.
-    pub(crate) fn await_admission(
+    pub(crate) fn count_awaiting(
         self: &Arc<Self>,
         priority: u8,
         tokens: u64,
--- a/crates/bilberry-gateway/tests/incarnations.rs
+++ b/crates/bilberry-gateway/tests/incarnations.rs
@@ -69,7 +69,7 @@
     current(upstreams).offer(NOW, "hall-a", Some(TERMS))
 }
 
-fn take_seat(upstreams: &Upstreams) -> Reservation {
+fn reserve(upstreams: &Upstreams) -> Reservation {
     Reservation::take(current(upstreams), 400, 300, upstreams.changed.clone())
 }
 
@@ -133,7 +133,7 @@
     // release their seats later, which must not free capacity of the next one.
     for by_list in [true, false] {
         let upstreams = one_upstream();
-        let seats = [take_seat(&upstreams), take_seat(&upstreams)];
+        let seats = [reserve(&upstreams), reserve(&upstreams)];
         assert_eq!(
             (offer(&upstreams).free_slots, offer(&upstreams).free_tokens),
             (0, 200)
@@ -142,7 +142,7 @@
         let new = offer(&upstreams);
         assert!(new.usable);
         assert_eq!((new.free_slots, new.free_tokens, new.pending_tokens), (2, 1_000, 0));
-        let reservation = take_seat(&upstreams);
+        let reservation = reserve(&upstreams);
         drop(seats);
         let new = offer(&upstreams);
         assert_eq!((new.free_slots, new.free_tokens, new.pending_tokens), (1, 600, 300));
@@ -297,7 +297,7 @@
         let upstreams = one_upstream();
         restart(&upstreams, false);
         assert!(offer(&upstreams).usable);
-        let reservation = take_seat(&upstreams);
+        let reservation = reserve(&upstreams);
         upstreams.apply_state(ID, state(Some(2), 1), NOW);
         upstreams.apply_listing(&listed(None, 1));
         assert!(!offer(&upstreams).usable);
