Log the software version of servers and what a caller takes up

A stream that a caller takes up, and one that begins, had the same log lines, and no line named the software version of a server. Each server that is listed now gets a line with its version; a request's line has the last event that its caller has, the attempt that it names in Resumes, and the versions of the servers that it was sent to.

A listing that names other software than the known one counts as a restart. A start of which only the sidecar tells has no known version until the list names it.

--- a/crates/bilberry-gateway/examples/prompt_keys.rs
+++ b/crates/bilberry-gateway/examples/prompt_keys.rs
@@ -90,6 +90,7 @@
         leaving: false,
         models: Vec::new(),
         listed_at: StorePosition { era: None, revision: 1 },
+        software: None,
         incarnation: None,
     })
 }
--- a/crates/bilberry-gateway/src/call.rs
+++ b/crates/bilberry-gateway/src/call.rs
@@ -30,6 +30,8 @@
     pub parts: Vec<PromptPart>,
     /// The last event that the caller received.
     pub last_event: Option<u64>,
+    /// The attempt that brought the first event of the stream that the caller takes up.
+    pub resumes: Option<Name>,
 }
 
 /// One part of a prompt.
@@ -48,6 +50,11 @@
         &self.parts[..shared]
     }
 
+    /// Reports whether the caller takes up a stream of which it has received events.
+    pub fn is_takeup(&self) -> bool {
+        self.last_event.is_some() || self.resumes.is_some()
+    }
+
     /// Returns the KV cache capacity that the request needs, in tokens.
     pub fn memory_tokens(&self) -> u64 {
         self.prompt_tokens + self.output_tokens
--- a/crates/bilberry-gateway/src/listing.rs
+++ b/crates/bilberry-gateway/src/listing.rs
@@ -25,6 +25,8 @@
     pub models: Vec<(Name, u64)>,
     /// When it was first listed, as a position that grows with each new entry.
     pub listed_at: StorePosition,
+    /// The version of its software, if it reports one.
+    pub software: Option<Name>,
     /// Its incarnation, if it reports one.
     pub incarnation: Option<Incarnation>,
 }
--- a/crates/bilberry-gateway/src/request_log.rs
+++ b/crates/bilberry-gateway/src/request_log.rs
@@ -51,6 +51,9 @@
 pub fn log_outcome<C: Clock>(context: &RequestContext, outcome: &str, clock: &C) {
     let now = clock.now();
     let tried: Vec<&str> = context.tried.iter().map(|tried| tried.id.as_str()).collect();
+    let softwares = context.tried.iter().map(|tried| tried.software());
+    let softwares: Vec<&str> =
+        softwares.map(|it| it.map_or("", |it| it.as_str())).collect();
     log::info!(
         target: "request",
         request = context.call.attempt.as_str(),
@@ -61,6 +64,9 @@
         tried = tried.join(",").as_str(),
         sends = context.sends,
         detail = context.detail.as_str(),
+        last_event = context.call.last_event.map_or(-1, |event| event as i64),
+        resumes = context.call.resumes.as_ref().map_or("", |attempt| attempt.as_str()),
+        software = softwares.join(",").as_str(),
         weights = context.weights.unwrap_or_default(),
         lacking_ms = context.weights_outdated_ms.unwrap_or_default(),
         waited_ms = context.waited_ms,
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 
 use bilberry_core::Incarnation;
 use bilberry_core::Name;
@@ -104,6 +105,8 @@
     pub seed: u64,
     /// When it was first listed, as a position that grows with each new entry.
     pub listed_at: StorePosition,
+    /// The version of its software, once the list names it for this incarnation.
+    software: OnceLock<Name>,
     live: Mutex<Live>,
     parts: Mutex<HashMap<u64, UnixMs>>,
     lost: watch::Sender<bool>,
@@ -128,6 +131,7 @@
             // share of the prompts and the other servers keep theirs.
             seed: xxh3_64(listed.address.to_string().as_bytes()),
             listed_at: listed.listed_at,
+            software: listed.software.clone().map(OnceLock::from).unwrap_or_default(),
             live: Mutex::new(live),
             parts: Mutex::default(),
             lost: watch::Sender::new(false),
@@ -147,6 +151,9 @@
 
     /// Applies a new listing of this incarnation.
     pub fn update(&self, listed: &Listing) {
+        if let Some(software) = &listed.software {
+            self.software.get_or_init(|| software.clone());
+        }
         let mut live = self.live.lock().unwrap();
         live.slots = listed.slots;
         let starts_leaving = listed.leaving && !live.leaving;
@@ -158,6 +165,11 @@
         live.listed_models = listed.models.clone();
     }
 
+    /// Returns the version of its software, if the list names it for this incarnation.
+    pub fn software(&self) -> Option<&Name> {
+        self.software.get()
+    }
+
     /// Marks it as leaving; it gets no new work.
     pub fn leave(&self) {
         self.live.lock().unwrap().leaving = true;
@@ -230,6 +242,8 @@
             leaving: false,
             models,
             listed_at: self.listed_at,
+            // A server may start with other software under its id.
+            software: None,
             incarnation: state.incarnation(),
         });
         next.live.lock().unwrap().confirmed = false;
--- a/crates/bilberry-gateway/src/upstreams.rs
+++ b/crates/bilberry-gateway/src/upstreams.rs
@@ -86,12 +86,15 @@
         let mut by_id = self.by_id.lock().unwrap();
         let known = by_id.get(&listed.id).cloned();
         let ended = match known {
-            Some(known) if is_later(&known, listed.incarnation) => {
+            Some(known) if is_earlier(&known, listed.incarnation) => None,
+            Some(known)
+                if is_later(&known, listed.incarnation)
+                    || is_other_software(&known, listed) =>
+            {
                 self.insert(&mut by_id, Upstream::new(listed));
                 known.end();
                 Some(known)
             }
-            Some(known) if is_earlier(&known, listed.incarnation) => None,
             Some(known) if is_same(&known, listed) => {
                 known.update(listed);
                 None
@@ -274,6 +277,13 @@
     ) -> Arc<Upstream> {
         upstream.set_status_notify(self.status_changed.clone());
         self.restore_status(&upstream);
+        log::info!(
+            target: "upstream",
+            upstream = upstream.id.as_str(),
+            pool = upstream.pool.as_str(),
+            software = upstream.software().map_or("", Name::as_str);
+            "listed"
+        );
         let upstream = Arc::new(upstream);
         by_id.insert(upstream.id.clone(), upstream.clone());
         retire_older(by_id, &upstream);
@@ -323,6 +333,14 @@
     known.address == listed.address && known.pool == listed.pool
 }
 
+/// Reports whether a listing names other software than that of the known incarnation.
+///
+/// Software changes only with a restart, which not all servers report.
+fn is_other_software(known: &Upstream, listed: &Listing) -> bool {
+    let listed = listed.software.as_ref();
+    known.software().is_some_and(|known| listed.is_some_and(|listed| listed != known))
+}
+
 /// Reports whether a listed incarnation is later than the known one.
 ///
 /// The first listing with a start time counts as later: the previous listing was
--- a/crates/bilberry-gateway/tests/admission.rs
+++ b/crates/bilberry-gateway/tests/admission.rs
@@ -188,6 +188,7 @@
             leaving: false,
             models: vec![(MODEL.into(), 1)],
             listed_at: StorePosition { era: None, revision: 1 },
+            software: None,
             incarnation: None,
         }
     }
--- a/crates/bilberry-gateway/tests/incarnations.rs
+++ b/crates/bilberry-gateway/tests/incarnations.rs
@@ -46,6 +46,7 @@
         leaving: false,
         models: vec![(MODEL.into(), version)],
         listed_at: StorePosition { era: None, revision: 1 },
+        software: None,
         incarnation: started_at_ms.map(|ms| Incarnation { started_at: UnixMs(ms) }),
     }
 }
--- a/crates/bilberry-gateway/tests/knowledge.rs
+++ b/crates/bilberry-gateway/tests/knowledge.rs
@@ -38,6 +38,7 @@
         leaving: false,
         models: vec![("model".into(), 1)],
         listed_at: StorePosition { era: None, revision: 1 },
+        software: None,
         incarnation: None,
     })
 }
