Keep streams at the software version that began them

What callers saw: while engines of several software versions served side by side, streams that callers took up at another entry, and streams that an entry resumed within its response, went on at an engine of another version.

Cause: nothing used the version. It was dropped where the list of servers is decoded, and the attempt that a caller names in Resumes was not read. The class: state that outlives the process that made it and is used by another that can't read it; here the events that a caller holds, and the copies of runs at other engines.

Change: an entry tells two sidecars, chosen by the request, which version makes the first event, before it sends that event. It passes this on to new owners while it lives. An entry at which a caller takes a stream up asks them, and places the stream among servers of that version alone; so do resumes within a response, and copies of runs are kept and used only at the same version. A stream of which nothing is recorded goes on only if the entry has followed the list without a gap for longer than a stream lasts, has seen one version, and the list is confirmed after the caller arrived. Otherwise the caller is refused at once and told to begin anew. A listing that names other software counts as a restart.

Why it works: a record is made of the event that the caller has, never changes, and disagreement counts as not knowing. No entry, sidecar or engine is needed to remember its own, nothing is written to the store.

--- a/crates/bilberry-gateway/src/backup.rs
+++ b/crates/bilberry-gateway/src/backup.rs
@@ -28,7 +28,8 @@
 impl<D: Dialect, C: Clock> Gateway<D, C> {
     /// Chooses the engine that keeps a backup of the request's KV cache.
     ///
-    /// It must have the same weights, as a KV cache computed with others can't be used.
+    /// It must have the same weights and the same software, as a KV cache computed with
+    /// others can't be used.
     /// An engine in the same data centre is preferred, as copies between data centres
     /// take twice as long; then the one with the most free memory.
     pub(crate) fn choose_backup(
@@ -47,7 +48,9 @@
         let candidates = peers.iter().filter_map(|peer| {
             let candidate = peer.offer(now, &main.data_centre, Some(engine));
             let fits = candidate.free_tokens >= context.call.memory_tokens();
-            let suits = peer.id != main.id && peer.weights(model, now) == weights;
+            let suits = peer.id != main.id
+                && peer.weights(model, now) == weights
+                && peer.software_id() == main.software_id();
             (suits && fits && candidate.usable).then_some((candidate, peer))
         });
         let best = candidates.max_by_key(|(candidate, _)| {
@@ -121,6 +124,12 @@
             self.classify_weights(version, model, now) == WeightsStatus::Excluded;
         let obstacle = match () {
             _ if is_excluded => Some("the backup engine's weights are outdated"),
+            // Either engine may have started again with other software.
+            _ if backup.software_id() != upstream.software_id()
+                || !context.start.may_continue_at(&backup) =>
+            {
+                Some("the backup engine has other software")
+            }
             _ if backup.is_leaving() => {
                 Some("the backup engine is shutting down or has stopped")
             }
--- a/crates/bilberry-gateway/src/feeds.rs
+++ b/crates/bilberry-gateway/src/feeds.rs
@@ -47,6 +47,8 @@
 use crate::quota_client::QuotaQuestion;
 use crate::run_query::PendingRunQueries;
 use crate::run_query::RUN_QUERY_QUEUE_CAPACITY;
+use crate::stream_origin::ORIGIN_QUEUE_CAPACITY;
+use crate::stream_origin::PendingOriginQueries;
 use crate::upstreams::UpstreamsByPool;
 
 /// The interval at which the set of feeds is reconciled with the listed upstreams.
@@ -80,6 +82,8 @@
     let mut feeds = Feeds::new();
     let publisher = gateway.clone();
     tokio::spawn(async move { publisher.maintain_pool_summaries().await });
+    let recorder = gateway.clone();
+    tokio::spawn(async move { recorder.maintain_origins().await });
     let mut previous = None;
     loop {
         let current = (gateway.upstreams.by_pool(), gateway.policy());
@@ -114,6 +118,7 @@
     for upstream in upstreams().filter(|upstream| gateway.is_engine(upstream)) {
         feeds.entry(feed_key(upstream)).or_insert_with_key(|(id, address)| {
             gateway.quotas.expect(upstream.seed, gateway.clock.now());
+            gateway.origins.expect(upstream.seed, gateway.clock.now());
             tokio::spawn(maintain_feed(gateway.clone(), id.clone(), *address))
         });
     }
@@ -182,7 +187,10 @@
     let mut pending_admissions = PendingAdmissions::default();
     let (run_queries, mut queued_run_queries) = mpsc::channel(RUN_QUERY_QUEUE_CAPACITY);
     let mut pending_run_queries = PendingRunQueries::default();
+    let (origins, mut queued_origins) = mpsc::channel(ORIGIN_QUEUE_CAPACITY);
+    let mut pending_origins = PendingOriginQueries::default();
     let mut quota_registration = None;
+    let mut origin_registration = None;
     let mut registration = None;
     let mut last_notice = None;
     let mut summaries = gateway.subscribe_to_pool_summaries();
@@ -252,6 +260,10 @@
                 framed.send(pending_admissions.register(message)).await?;
                 continue;
             }
+            Some(message) = queued_origins.recv() => {
+                framed.send(pending_origins.register(message)).await?;
+                continue;
+            }
             Some(question) = queued_run_queries.recv() => {
                 framed.send(pending_run_queries.register(question)).await?;
                 continue;
@@ -282,6 +294,10 @@
                 pending.resolve(call, response);
                 None
             }
+            Some(Body::OriginReply(reply)) => {
+                pending_origins.resolve(call, reply);
+                None
+            }
             Some(Body::RunReply(reply)) => {
                 pending_run_queries.resolve(call, reply);
                 None
@@ -315,6 +331,12 @@
                     gateway.quotas.register(id, seed, charges.clone(), &gateway.clock)
                 });
             }
+            if state.keeps_origins {
+                origin_registration.get_or_insert_with(|| {
+                    let seed = upstream.seed;
+                    gateway.origins.register(seed, origins.clone(), &gateway.clock)
+                });
+            }
             gateway.apply_sidecar_state(id, state);
             registration.get_or_insert_with(|| {
                 gateway.hubs.register(address, &upstream, requests.clone())
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -297,7 +297,10 @@
     ) -> bool {
         let now = self.clock.now();
         let upstreams = self.upstreams.of(&context.pool.name);
-        let mut untried = upstreams.iter().filter(|other| !context.has_tried(other));
+        let required = context.start.required();
+        let mut untried = upstreams
+            .iter()
+            .filter(|other| !context.has_tried(other) && required.allows(other));
         let has_capacity = |other: &Arc<Upstream>| {
             let offer = other.offer(now, &self.settings.data_centre, context.pool.engine);
             offer.usable && offer.free_slots > 0
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -17,6 +17,8 @@
 use bilberry_core::QuotaTolerance;
 use bilberry_core::RetryKind;
 use bilberry_core::SharedRetryBudget;
+use bilberry_core::SoftwareHistory;
+use bilberry_core::SoftwareId;
 use bilberry_core::UnixMs;
 use bilberry_wire::CacheChange;
 use bilberry_wire::UpstreamState;
@@ -41,6 +43,10 @@
 use crate::pool_summary::PoolSummaries;
 use crate::quota_client::QuotaClient;
 use crate::run_observation::SharedHosts;
+use crate::stream_origin::OriginClient;
+
+/// The number of services above which those without upstreams are forgotten.
+const MAX_SOFTWARE_HISTORIES: usize = 1_024;
 
 /// The startup settings of an entry.
 #[derive(Debug, Clone)]
@@ -84,6 +90,8 @@
     pub sidecars: SidecarPresenceMap,
     pub(crate) crashes: KnownCrashes,
     pub(crate) quotas: QuotaClient,
+    pub(crate) origins: OriginClient,
+    software_histories: Mutex<HashMap<Name, SoftwareHistory>>,
     pub(crate) waiting: WaitingRequests,
     pub(crate) speed: SpeedEstimates,
     pub(crate) shared_hosts: SharedHosts,
@@ -106,6 +114,8 @@
             dialect,
             connections: ConnectionPool::new(clock.clone()),
             quotas: QuotaClient::new(clock.now()),
+            origins: OriginClient::new(),
+            software_histories: Mutex::default(),
             clock,
             settings,
             upstreams: Upstreams::default(),
@@ -299,10 +309,49 @@
 
     /// Applies one record of the list of upstreams.
     pub fn apply_listing(&self, listed: &Listing) {
+        let software = listed.software.as_ref();
+        let software = software.map(|version| SoftwareId::new(&listed.pool, version));
+        self.record_software(&listed.pool, software);
         let ended = self.upstreams.apply_listing(listed);
         ended.iter().for_each(|ended| self.on_incarnation_end(ended));
     }
 
+    /// Records that the list of upstreams is complete as of `at`.
+    pub fn confirm_list(&self, at: UnixMs) {
+        let now = self.clock.now();
+        let by_pool = self.upstreams.by_pool();
+        let mut histories = self.software_histories.lock().unwrap();
+        if histories.len() > MAX_SOFTWARE_HISTORIES {
+            histories.retain(|pool, _| by_pool.contains_key(pool));
+        }
+        for (pool, upstreams) in by_pool.iter() {
+            let history = histories.entry(pool.clone()).or_default();
+            let versions = upstreams.iter().map(|upstream| upstream.software_id());
+            versions.for_each(|software| history.record(software, now));
+        }
+        histories.values_mut().for_each(|history| history.confirm(at));
+    }
+
+    /// Records that the list of upstreams was read anew at `at`.
+    ///
+    /// Upstreams that were listed for less than `min_listed_ms` may have been missed.
+    pub fn record_list_gap(&self, at: UnixMs, min_listed_ms: u64) {
+        let mut histories = self.software_histories.lock().unwrap();
+        histories.values_mut().for_each(|history| history.record_gap(at, min_listed_ms));
+    }
+
+    fn record_software(&self, pool: &Name, software: Option<SoftwareId>) {
+        let now = self.clock.now();
+        let mut histories = self.software_histories.lock().unwrap();
+        histories.entry(pool.clone()).or_default().record(software, now);
+    }
+
+    /// Returns the software versions that a service has had lately.
+    pub(crate) fn software_history(&self, pool: &Name) -> SoftwareHistory {
+        let histories = self.software_histories.lock().unwrap();
+        histories.get(pool).cloned().unwrap_or_default()
+    }
+
     /// Applies a state update from the sidecar of an upstream.
     pub fn apply_sidecar_state(&self, id: &Name, state: UpstreamState) {
         let now = self.clock.now();
--- a/crates/bilberry-gateway/src/lib.rs
+++ b/crates/bilberry-gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod speed;
 mod store_contents;
 mod store_watch;
+mod stream_origin;
 mod upstream;
 mod upstreams;
 mod weights;
--- a/crates/bilberry-gateway/src/metrics.rs
+++ b/crates/bilberry-gateway/src/metrics.rs
@@ -35,6 +35,8 @@
     pub quota_units: Family<OutcomeLabel, Counter>,
     /// Requests charged to the limits of upstreams, by decision.
     pub permits: Family<OutcomeLabel, Counter>,
+    /// Streams that callers took up, by how their software version was found.
+    pub takeups: Family<OutcomeLabel, Counter>,
     /// Requests for admission to engines, by outcome.
     pub admissions: Family<OutcomeLabel, Counter>,
     /// Time that requests were queued by the sidecars of engines.
@@ -85,6 +87,7 @@
             sends: Family::default(),
             quota_units: Family::default(),
             permits: Family::default(),
+            takeups: Family::default(),
             admissions: Family::default(),
             admission_wait_seconds: histogram(),
             run_queries: Family::default(),
@@ -121,6 +124,8 @@
         registry.register("quota_units", help, self.quota_units.clone());
         let help = "Requests charged to the limits of upstreams by decision";
         registry.register("permits", help, self.permits.clone());
+        let help = "Streams that callers took up by how their version was found";
+        registry.register("takeups", help, self.takeups.clone());
         let help = "Requests for admission to engines by outcome";
         registry.register("admissions", help, self.admissions.clone());
         let wait = self.admission_wait_seconds.clone();
@@ -184,6 +189,11 @@
         self.permits.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a stream that a caller took up.
+    pub(crate) fn count_takeup(&self, outcome: &'static str) {
+        self.takeups.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts the outcome of a request for admission to an engine.
     pub fn count_admission(&self, outcome: &'static str) {
         self.admissions.get_or_create(&OutcomeLabel { outcome }).inc();
--- a/crates/bilberry-gateway/src/placement.rs
+++ b/crates/bilberry-gateway/src/placement.rs
@@ -107,6 +107,9 @@
             if until.has_passed_at(now) || has_none || is_hopeless {
                 break Err(Refusal::NoCapacity);
             }
+            if self.lacks_required_software(context) {
+                break Err(Refusal::StreamSoftwareGone);
+            }
             if self.all_weights_barred(context, until, now) {
                 break Err(Refusal::NoWeights);
             }
@@ -184,6 +187,7 @@
         let backlog = self
             .has_shared_hosts(&context.pool.name)
             .then(|| ServiceBacklog::sum(backlogs(), now));
+        let required = context.start.required();
         let mut versions = Vec::with_capacity(upstreams.len());
         let mut asks_admission = Vec::with_capacity(upstreams.len());
         let mut candidates: Vec<PlacementCandidate> = upstreams
@@ -203,6 +207,7 @@
                 candidate = admission.unwrap_or(candidate);
                 candidate.usable &=
                     !context.has_tried(upstream) && !attempts.has_rejected(upstream);
+                candidate.usable &= required.allows(upstream);
                 match &backlog {
                     Some(backlog) => {
                         candidate.reported_pending_tokens =
--- a/crates/bilberry-gateway/src/refusal.rs
+++ b/crates/bilberry-gateway/src/refusal.rs
@@ -47,6 +47,12 @@
     /// No upstream has recent enough weights.
     #[error("no upstream has the newest weights yet; come back as told")]
     NoWeights,
+    /// It is not known which software version began the stream that the caller takes up.
+    #[error("it is not known which software began this stream; begin it anew")]
+    StreamOriginUnknown,
+    /// No server is left of the software version that began the caller's stream.
+    #[error("no server of the software that began this stream is left; begin it anew")]
+    StreamSoftwareGone,
     /// The request is quarantined because it crashed the servers that ran it.
     #[error("this request crashed the servers that ran it; don't send it again for {} s", for_ms.div_ceil(1_000))]
     Quarantined {
@@ -94,6 +100,8 @@
             | Self::KeysUnconfirmed
             | Self::NoCapacity
             | Self::NoWeights
+            | Self::StreamOriginUnknown
+            | Self::StreamSoftwareGone
             | Self::Quarantined { .. }
             | Self::QuotaUnknown
             | Self::DeadlineBeforeSend => StatusCode::SERVICE_UNAVAILABLE,
@@ -121,6 +129,8 @@
             Self::UnknownKey => "unknown_key",
             Self::NoCapacity => "no_room",
             Self::NoWeights => "no_weights",
+            Self::StreamOriginUnknown => "stream_unknown",
+            Self::StreamSoftwareGone => "stream_software_gone",
             Self::Quarantined { .. } => "quarantined",
             Self::QuotaExceeded { .. } => "quota_exceeded",
             Self::QuotaUnknown => "quota_unknown",
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -162,6 +162,7 @@
             if !is_silent {
                 self.record_interrupted_run(context, &upstream);
             }
+            self.withdraw_uncertain_origin(context);
             context.runs += 1;
             context.detail = reason.to_string();
             // Close the connection before another upstream resumes the stream: this ends
@@ -285,6 +286,7 @@
                 self.record_prompt_read(context, &mut response.reservation);
             }
             let Some(events) = splitter.push(&bytes) else { continue };
+            self.record_origin(context, &upstream);
             if pieces.send(BodyChunk::Data(events)).await.is_err() {
                 return RelayEnd::Finished(BodyEnd::CallerLeft);
             }
--- a/crates/bilberry-gateway/src/request_context.rs
+++ b/crates/bilberry-gateway/src/request_context.rs
@@ -20,6 +20,7 @@
 use crate::Route;
 use crate::Upstream;
 use crate::quota_client::ChargedQuota;
+use crate::stream_origin::StreamStart;
 
 /// The salt scope of customers whose cached prompts may be shared.
 const SHARED_SALT_SCOPE: &str = "shared";
@@ -68,6 +69,8 @@
     pub earlier_crashes: u64,
     /// The number of sends that may have run.
     pub runs: u32,
+    /// What determines the software version of the stream.
+    pub(crate) start: StreamStart,
     /// The upstream that keeps a backup of the request's KV cache.
     pub backup: Option<Arc<Upstream>>,
     /// The version of the weights of the chosen upstream.
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -31,6 +31,7 @@
 use crate::forward::UpstreamResponse;
 use crate::plain_response::PlainResponse;
 use crate::relay::is_stream;
+use crate::stream_origin::StreamStart;
 
 /// The timeout for receiving a request body.
 const BODY_TIMEOUT_MS: u64 = 10_000;
@@ -95,6 +96,9 @@
         if let Err(refusal) = self.check_quarantine(&context) {
             return self.refuse(&context, &refusal);
         }
+        if let Err(refusal) = self.resolve_takeup(&mut context).await {
+            return self.refuse(&context, &refusal);
+        }
         if let Err(refusal) = self.charge_quota(&mut context).await {
             return self.refuse(&context, &refusal);
         }
@@ -184,6 +188,7 @@
             sent_to: None,
             earlier_crashes: 0,
             runs: 0,
+            start: StreamStart::default(),
             backup: None,
             weights: None,
             weights_outdated_ms: None,
@@ -252,6 +257,9 @@
             (Refusal::NoCapacity, _) if context.admission_retry_ms.is_some() => {
                 admission_retry_after_ms(context.admission_retry_ms, left_ms)
             }
+            (Refusal::StreamOriginUnknown | Refusal::StreamSoftwareGone, _) => {
+                retry_after_ms(0)
+            }
             (Refusal::NoWeights, _) => late_retry_after_ms(left_ms),
             (Refusal::Quarantined { for_ms }, _) => *for_ms,
             (Refusal::QuotaExceeded { wait_ms }, _) => *wait_ms,
--- /dev/null
+++ b/crates/bilberry-gateway/src/stream_origin.rs
@@ -0,0 +1,11 @@
+//! Keeps streams at the software version that began them.
+
+mod client;
+mod required;
+mod takeup;
+
+pub(crate) use client::ORIGIN_QUEUE_CAPACITY;
+pub(crate) use client::OriginClient;
+pub(crate) use client::PendingOriginQueries;
+pub(crate) use required::RequiredSoftware;
+pub(crate) use required::StreamStart;
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -17,6 +17,7 @@
 use bilberry_core::PlacementCandidate;
 use bilberry_core::PrefillBacklog;
 use bilberry_core::SidecarStatus;
+use bilberry_core::SoftwareId;
 use bilberry_core::StorePosition;
 use bilberry_core::UnixMs;
 use bilberry_core::WeightsStatus;
@@ -78,6 +79,13 @@
     since.has_passed_at(now) && now.ms_since(since) < PART_TTL_MS
 }
 
+/// Returns the software version that a listing names, and its id.
+fn listed_software(listed: &Listing) -> Option<(Name, SoftwareId)> {
+    let version = listed.software.clone()?;
+    let id = SoftwareId::new(&listed.pool, &version);
+    Some((version, id))
+}
+
 /// Removes expired parts once the number of parts exceeds the threshold.
 fn prune_expired(parts: &mut HashMap<u64, UnixMs>, now: UnixMs) {
     if parts.len() > PART_PRUNE_THRESHOLD {
@@ -106,7 +114,7 @@
     /// When it was first listed, as a position that grows with each new entry.
     pub listed_at: StorePosition,
     /// The version of its software, once the list names it for this incarnation.
-    software: OnceLock<Name>,
+    software: OnceLock<(Name, SoftwareId)>,
     live: Mutex<Live>,
     parts: Mutex<HashMap<u64, UnixMs>>,
     lost: watch::Sender<bool>,
@@ -131,7 +139,7 @@
             // share of the prompts and the other servers keep theirs.
             seed: xxh3_64(listed.address.to_string().as_bytes()),
             listed_at: listed.listed_at,
-            software: listed.software.clone().map(OnceLock::from).unwrap_or_default(),
+            software: listed_software(listed).map(OnceLock::from).unwrap_or_default(),
             live: Mutex::new(live),
             parts: Mutex::default(),
             lost: watch::Sender::new(false),
@@ -151,8 +159,8 @@
 
     /// Applies a new listing of this incarnation.
     pub fn update(&self, listed: &Listing) {
-        if let Some(software) = &listed.software {
-            self.software.get_or_init(|| software.clone());
+        if let Some(software) = listed_software(listed) {
+            self.software.get_or_init(|| software);
         }
         let mut live = self.live.lock().unwrap();
         live.slots = listed.slots;
@@ -167,7 +175,23 @@
 
     /// Returns the version of its software, if the list names it for this incarnation.
     pub fn software(&self) -> Option<&Name> {
-        self.software.get()
+        self.software.get().map(|(version, _)| version)
+    }
+
+    /// Returns the id of its software version, if known.
+    pub(crate) fn software_id(&self) -> Option<SoftwareId> {
+        self.software.get().map(|&(_, id)| id)
+    }
+
+    /// Returns the software version that answered at `at` under its id, if that is
+    /// certain.
+    ///
+    /// A server that has started again under its id answers requests that were meant for
+    /// the earlier start, until its sidecar or the list reports the later one.
+    pub(crate) fn software_at(&self, at: UnixMs) -> Option<SoftwareId> {
+        let live = self.live.lock().unwrap();
+        let is_certain = !live.ended || live.reported_at >= at;
+        self.software_id().filter(|_| is_certain)
     }
 
     /// Marks it as leaving; it gets no new work.
@@ -292,6 +316,7 @@
             self.status_changed.notify_one();
         }
         live.feed = Some((state, now));
+        live.reported_at = now;
     }
 
     /// Applies a change of its cache.
--- a/crates/bilberry-gateway/src/upstream/live.rs
+++ b/crates/bilberry-gateway/src/upstream/live.rs
@@ -31,6 +31,8 @@
     pub(super) confirmed: bool,
     pub(super) listed_models: Vec<(Name, u64)>,
     pub(super) feed: Option<(UpstreamState, UnixMs)>,
+    /// When its sidecar last reported this incarnation.
+    pub(super) reported_at: UnixMs,
     pub(super) cache_epoch: u64,
     pub(super) loads_at: Option<UnixMs>,
     pub(super) load: Option<ServerLoad>,
@@ -76,6 +78,7 @@
             confirmed: true,
             listed_models: listed.models.clone(),
             feed: None,
+            reported_at: UnixMs(0),
             cache_epoch: 0,
             loads_at: None,
             load: None,
--- a/crates/bilberry-steward/src/feed.rs
+++ b/crates/bilberry-steward/src/feed.rs
@@ -39,6 +39,7 @@
 use crate::FollowedStore;
 use crate::LatestWeights;
 use crate::LimitRelay;
+use crate::OriginOwner;
 use crate::PromptStores;
 use crate::QuotaOwner;
 use crate::RunInterest;
@@ -95,6 +96,8 @@
     pub admissions: Arc<AdmissionControl<C>>,
     /// The request limits of servers that entries report.
     pub limits: LimitRelay,
+    /// The origins of streams recorded for all entries.
+    pub origins: Arc<OriginOwner<C>>,
     /// Whether entries use what the sidecar observes of the engine's runs.
     pub run_interest: RunInterest,
     /// The progress of the engine's runs.
@@ -186,6 +189,7 @@
         let upstream = UpstreamState {
             entries: connection.total(),
             keeps_quotas: true,
+            keeps_origins: true,
             admission: interest.is_stated().then(|| feed.admissions.load()),
             loads_in_ms: sent.loads_at.map(|at| at.ms_since(now)),
             ..sent.upstream.clone()
@@ -293,6 +297,15 @@
                             framed.send(Frame { call, body, ..Frame::default() }).await?;
                             continue;
                         }
+                        Some(Body::OriginNotice(notice)) => {
+                            feed.origins.record(&notice);
+                            continue;
+                        }
+                        Some(Body::OriginQuery(query)) => {
+                            let body = Some(Body::OriginReply(feed.origins.answer(&query)));
+                            framed.send(Frame { call, body, ..Frame::default() }).await?;
+                            continue;
+                        }
                         Some(Body::LimitNotice(notice)) => {
                             feed.limits.merge(&notice, feed.clock.now());
                             continue;
--- a/crates/bilberry-steward/src/metrics.rs
+++ b/crates/bilberry-steward/src/metrics.rs
@@ -96,6 +96,8 @@
     pub engine_prefill_token_ns: Gauge,
     /// The engine's time between two events of a run, in microseconds; 0 while unknown.
     pub event_us: Gauge,
+    /// Streams whose origins are recorded here.
+    pub stream_origins: Gauge,
     /// Objects of the platform's store that could not be interpreted.
     pub unreadable: UnreadableObjects,
     /// Changes of the platform store's era, which follow a restore from an older copy.
@@ -120,6 +122,7 @@
             admissions: AdmissionMetrics::default(),
             engine_prefill_token_ns: Gauge::default(),
             event_us: Gauge::default(),
+            stream_origins: Gauge::default(),
             unreadable: UnreadableObjects::default(),
             era_changes: EraChanges::default(),
         };
@@ -153,6 +156,8 @@
         registry.register("engine_prefill_token_ns", help, prefill);
         let help = "Time between two events of a run, 0 while unknown";
         registry.register("event_us", help, self.event_us.clone());
+        let help = "Streams whose software version is recorded here";
+        registry.register("stream_origins", help, self.stream_origins.clone());
         self.unreadable.register(&mut registry);
         self.era_changes.register(&mut registry);
     }
--- a/crates/bilberry-steward/tests/admission.rs
+++ b/crates/bilberry-steward/tests/admission.rs
@@ -21,6 +21,7 @@
 use bilberry_steward::LimitRelay;
 use bilberry_steward::LoadOrder;
 use bilberry_steward::OrderReply;
+use bilberry_steward::OriginOwner;
 use bilberry_steward::PromptStores;
 use bilberry_steward::QuotaOwner;
 use bilberry_steward::ReportDetail;
@@ -42,6 +43,7 @@
 use bilberry_wire::UpstreamState;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
+use prometheus_client::metrics::gauge::Gauge;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -118,6 +120,7 @@
             quotas: Arc::new(QuotaOwner::new(clock)),
             admissions,
             limits: LimitRelay::new(),
+            origins: Arc::new(OriginOwner::new(clock, Gauge::default())),
             run_interest: RunInterest::default(),
             runs: Arc::default(),
             clock,
--- a/crates/bilberry-wire/src/feed.rs
+++ b/crates/bilberry-wire/src/feed.rs
@@ -70,6 +70,9 @@
     /// Whether the engine responds to its sidecar while its runs make no progress.
     #[prost(bool, tag = "16")]
     pub stalled: bool,
+    /// Whether the sidecar records which software versions began streams.
+    #[prost(bool, tag = "17")]
+    pub keeps_origins: bool,
 }
 
 /// How fast an engine works, as measured by its sidecar.
--- a/crates/bilberry-wire/src/frame.rs
+++ b/crates/bilberry-wire/src/frame.rs
@@ -14,6 +14,9 @@
 use crate::EventsResponse;
 use crate::Finished;
 use crate::LimitNotice;
+use crate::OriginNotice;
+use crate::OriginQuery;
+use crate::OriginReply;
 use crate::PiecesRequest;
 use crate::PiecesResponse;
 use crate::PlainAnswer;
@@ -50,7 +53,7 @@
     #[prost(
         oneof = "Body",
         tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, \
-                                    18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42, 43"
+                                    18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42, 43, 44, 45, 46"
     )]
     pub body: Option<Body>,
 }
@@ -178,6 +181,15 @@
     /// Returns the progress of a run.
     #[prost(message, tag = "43")]
     RunReply(RunReply),
+    /// Tells a sidecar which software version began a stream.
+    #[prost(message, tag = "44")]
+    OriginNotice(OriginNotice),
+    /// Asks a sidecar which software version began a stream.
+    #[prost(message, tag = "45")]
+    OriginQuery(OriginQuery),
+    /// Returns which software version began a stream.
+    #[prost(message, tag = "46")]
+    OriginReply(OriginReply),
 }
 
 /// Identifies the process that opened a connection.
--- a/crates/bilberry-wire/src/lib.rs
+++ b/crates/bilberry-wire/src/lib.rs
@@ -16,6 +16,7 @@
 mod run_status;
 mod shared_watch;
 mod state;
+mod stream_origin;
 
 pub use admission::AdmissionLoad;
 pub use admission::AdmissionOutcome;
@@ -71,3 +72,6 @@
 pub use state::StateRequest;
 pub use state::StateResponse;
 pub use state::StatusResponse;
+pub use stream_origin::OriginNotice;
+pub use stream_origin::OriginQuery;
+pub use stream_origin::OriginReply;
--- a/crates/bilberryd/src/hosted.rs
+++ b/crates/bilberryd/src/hosted.rs
@@ -43,6 +43,7 @@
 use bilberry_steward::LatestWeights;
 use bilberry_steward::LimitRelay;
 use bilberry_steward::OrderGate;
+use bilberry_steward::OriginOwner;
 use bilberry_steward::PromptStores;
 use bilberry_steward::QuotaOwner;
 use bilberry_steward::RunInterest;
@@ -263,6 +264,8 @@
     let admissions = Arc::new(AdmissionControl::new(steward.state(), clock, metrics));
     tokio::spawn(admissions.clone().run());
     let limits = LimitRelay::new();
+    let origins =
+        Arc::new(OriginOwner::new(clock, steward.metrics.stream_origins.clone()));
     let feed_state = Feed {
         state,
         cache,
@@ -273,6 +276,7 @@
         quotas,
         admissions,
         limits,
+        origins,
         run_interest,
         runs,
         clock,
