--- a/crates/bilberry-gateway/src/stream_origin/takeup.rs
+++ b/crates/bilberry-gateway/src/stream_origin/takeup.rs
@@ -39,8 +39,9 @@
 
 /// How long a request waits until the list of servers is confirmed.
 ///
-/// Callers give up a silent stream after two seconds or more.
-const CONFIRMATION_TIMEOUT_MS: u64 = 1_500;
+/// Callers give up a silent stream after two seconds or more, and an unchanged list is
+/// confirmed every two seconds.
+const CONFIRMATION_TIMEOUT_MS: u64 = 1_900;
 
 /// The interval at which a waiting request checks again.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
