--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -40,6 +40,7 @@
 use crate::Upstreams;
 use crate::held_back::WaitingRequests;
 use crate::known_crashes::KnownCrashes;
+use crate::metrics::ServerLabels;
 use crate::pool_summary::PoolSummaries;
 use crate::quota_client::QuotaClient;
 use crate::run_observation::SharedHosts;
@@ -324,7 +325,16 @@
         if histories.len() > MAX_SOFTWARE_HISTORIES {
             histories.retain(|pool, _| by_pool.contains_key(pool));
         }
+        self.metrics.servers.clear();
         for (pool, upstreams) in by_pool.iter() {
+            for upstream in upstreams.iter().filter(|upstream| !upstream.is_leaving()) {
+                let software = upstream.software().map_or("", |version| version.as_str());
+                let labels = ServerLabels {
+                    pool: pool.to_string(),
+                    software: software.to_string(),
+                };
+                self.metrics.servers.get_or_create(&labels).inc();
+            }
             let history = histories.entry(pool.clone()).or_default();
             let versions = upstreams.iter().map(|upstream| upstream.software_id());
             versions.for_each(|software| history.record(software, now));
--- a/crates/bilberry-gateway/src/metrics.rs
+++ b/crates/bilberry-gateway/src/metrics.rs
@@ -23,6 +23,15 @@
     pub outcome: &'static str,
 }
 
+/// The labels of the gauge of servers.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServerLabels {
+    /// The service.
+    pub pool: String,
+    /// The version of the software; empty if unknown.
+    pub software: String,
+}
+
 /// All metrics of an entry.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -57,6 +66,8 @@
     pub placed_on_older_weights: Counter,
     /// Requests that were predicted to miss a target wherever they were placed.
     pub predicted_late: Counter,
+    /// Servers that are not leaving, by service and software version.
+    pub servers: Family<ServerLabels, Gauge>,
     /// Upstreams that are no longer listed but still in use.
     pub kept_upstreams: Gauge,
     /// The version of the configuration in force.
@@ -98,6 +109,7 @@
             resumed: Counter::default(),
             placed_on_older_weights: Counter::default(),
             predicted_late: Counter::default(),
+            servers: Family::default(),
             kept_upstreams: Gauge::default(),
             config_version: Gauge::default(),
             watches: Family::default(),
@@ -144,6 +156,8 @@
         let late = self.predicted_late.clone();
         let help = "Requests predicted to miss a target when they were placed";
         registry.register("predicted_late", help, late);
+        let help = "Servers that are not leaving by software version";
+        registry.register("servers", help, self.servers.clone());
         let kept = self.kept_upstreams.clone();
         let help = "Upstreams in use that the list no longer names";
         registry.register("kept_upstreams", help, kept);
--- a/crates/bilberryctl/src/explain.rs
+++ b/crates/bilberryctl/src/explain.rs
@@ -7,6 +7,7 @@
 use crate::error::CtlError;
 use crate::log_lines::LogLine;
 use crate::log_lines::Logs;
+use crate::losses::TAKEUP_DETAIL;
 use crate::losses::cause;
 use crate::table::table;
 
@@ -73,6 +74,17 @@
         what,
     };
     let mut events = vec![event(0, format!("arrives on route {}", line.text("route")))];
+    let details = line.text("detail").split("; ");
+    for found in details.filter_map(|detail| detail.strip_prefix(TAKEUP_DETAIL)) {
+        let named = match line.text("resumes") {
+            "" => "a stream without naming its attempt".to_string(),
+            attempt => format!("the stream that {attempt} began"),
+        };
+        let last_event = line.number("last_event");
+        let what =
+            format!("takes up {named} after event {last_event}; its software: {found}");
+        events.push(event(0, what));
+    }
     let waited_ms = line.number("waited_ms");
     if waited_ms > 0 {
         let for_parts_ms = line.number("waited_for_parts_ms");
@@ -86,8 +98,12 @@
         events.push(event(waited_ms, admission.to_string()));
     }
     if !line.text("tried").is_empty() {
+        let software = match line.text("software") {
+            "" => String::new(),
+            versions => format!(" (software {versions})"),
+        };
         let what = format!(
-            "is sent {} times, to {}; {} of {} shared tokens supplied",
+            "is sent {} times, to {}{software}; {} of {} shared tokens supplied",
             line.number("sends"),
             line.text("tried"),
             line.number("supplied_tokens"),
--- a/crates/bilberryctl/src/losses.rs
+++ b/crates/bilberryctl/src/losses.rs
@@ -10,6 +10,9 @@
 use crate::log_lines::Logs;
 use crate::table::table;
 
+/// The beginning of the detail that tells how the version of a stream was found.
+pub(crate) const TAKEUP_DETAIL: &str = "take-up: ";
+
 /// The maximum number of example requests per group.
 const MAX_EXAMPLES: usize = 2;
 
@@ -92,7 +95,11 @@
 /// Returns the cause of a late, failed or refused request; `None` if it was served
 /// in time.
 pub(crate) fn cause(line: &LogLine) -> Option<String> {
-    let detail = line.text("detail");
+    let details = line.text("detail").split("; ");
+    let details: Vec<&str> =
+        details.filter(|detail| !detail.starts_with(TAKEUP_DETAIL)).collect();
+    let detail = details.join("; ");
+    let detail = detail.as_str();
     let why = match detail {
         "" => String::new(),
         detail => format!(": {detail}"),
--- a/crates/bilberryctl/tests/logs.rs
+++ b/crates/bilberryctl/tests/logs.rs
@@ -95,3 +95,18 @@
 fn a_missing_log_file_is_reported() {
     insta::assert_snapshot!(run(&["losses", "--logs", "none.log"]), @"bilberryctl: none.log: can't be read: No such file or directory (os error 2); name log files that exist");
 }
+
+#[test]
+fn the_timeline_names_the_software_of_a_stream_that_is_taken_up() {
+    let timeline = run(&["explain", "--logs", "entry-7.log", "t2"]);
+    let takeup = "takes up the stream that t1 began after event 7; its software: recorded after 3 ms";
+    assert!(timeline.contains(takeup), "{timeline}");
+    assert!(timeline.contains("to e1 (software v1.1)"), "{timeline}");
+}
+
+#[test]
+fn refused_takeups_are_one_group_whatever_their_times() {
+    let losses = run(&["losses", "--logs", "entry-7.log"]);
+    let group = losses.lines().find(|line| line.contains("stream_unknown"));
+    assert!(group.is_some_and(|group| group.contains("t4 t6")), "{losses}");
+}
