Allow for the age of a sidecar's report when a server starts again under its id

A sidecar repeats its engine's last state until the next poll is answered or times out, so a report that arrives after a stream's first event may be older than the start that made the event. Events within 500 ms before the last report now count as uncertain as well. Found by reading. Tests of this, and of a listing that names other software.

--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -71,6 +71,12 @@
 /// With two, a short queue keeps every slot busy; more would only wait.
 const PLAIN_REQUESTS_PER_SLOT: u64 = 2;
 
+/// How old the state of an engine may be when its sidecar sends it.
+///
+/// A sidecar that has asked a restarted engine for its state repeats the earlier one until
+/// the reply or its timeout.
+const MAX_REPORT_AGE_MS: u64 = 500;
+
 /// The version that stands for missing weights; versions of actual weights start at 1.
 const NO_WEIGHTS: u64 = 0;
 
@@ -179,7 +185,7 @@
     }
 
     /// Returns the id of its software version, if known.
-    pub(crate) fn software_id(&self) -> Option<SoftwareId> {
+    pub fn software_id(&self) -> Option<SoftwareId> {
         self.software.get().map(|&(_, id)| id)
     }
 
@@ -188,9 +194,9 @@
     ///
     /// A server that has started again under its id answers requests that were meant for
     /// the earlier start, until its sidecar or the list reports the later one.
-    pub(crate) fn software_at(&self, at: UnixMs) -> Option<SoftwareId> {
+    pub fn software_at(&self, at: UnixMs) -> Option<SoftwareId> {
         let live = self.live.lock().unwrap();
-        let is_certain = !live.ended || live.reported_at >= at;
+        let is_certain = !live.ended || live.reported_at >= at.plus_ms(MAX_REPORT_AGE_MS);
         self.software_id().filter(|_| is_certain)
     }
 
--- a/crates/bilberry-gateway/tests/incarnations.rs
+++ b/crates/bilberry-gateway/tests/incarnations.rs
@@ -387,3 +387,38 @@
     upstreams.apply_listing(&listed(Some(2), 5));
     assert_eq!(current(&upstreams).request_limit(), None);
 }
+
+#[test]
+fn the_software_is_uncertain_just_before_a_start_under_the_same_id() {
+    // A server that has started again may have answered before its sidecar reports it.
+    let upstreams = Upstreams::default();
+    upstreams.set_configured_pools(["llm".into()]);
+    let listed = |started_at_ms, version: &str| Listing {
+        software: Some(version.into()),
+        ..listed(Some(started_at_ms), 5)
+    };
+    upstreams.apply_listing(&listed(1, "v1"));
+    let first = current(&upstreams);
+    upstreams.apply_state(ID, state(Some(1), 5), NOW);
+    upstreams.apply_listing(&listed(2, "v2"));
+    assert!(first.has_ended());
+    assert_eq!(first.software_at(UnixMs(NOW.0 - 500)), first.software_id());
+    assert_eq!(first.software_at(UnixMs(NOW.0 - 499)), None);
+    let second = current(&upstreams);
+    assert_ne!(second.software_id(), first.software_id());
+    assert_eq!(second.software_at(UnixMs(NOW.0 + 1)), second.software_id());
+}
+
+#[test]
+fn a_listing_with_other_software_counts_as_a_restart() {
+    // Servers that don't report their start may still change their software.
+    let upstreams = Upstreams::default();
+    upstreams.set_configured_pools(["llm".into()]);
+    let listed =
+        |version: &str| Listing { software: Some(version.into()), ..listed(None, 5) };
+    upstreams.apply_listing(&listed("v1"));
+    let first = current(&upstreams);
+    let ended = upstreams.apply_listing(&listed("v2")).expect("the first one ends");
+    assert!(Arc::ptr_eq(&ended, &first));
+    assert!(first.has_ended());
+}
