Check at which start a stream goes on where servers keep their id

Servers check the id alone, so the request was run.

Before a stream goes on at a server that tells its start, the entry asks for the start on the connection that the request will use; a connection ends with its process. Another start counts as a request that was not sent. Where servers don't tell their start, each start has an id of its own, and nothing is asked.

--- a/crates/bilberry-gateway/src/call.rs
+++ b/crates/bilberry-gateway/src/call.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use bilberry_core::Incarnation;
 use bilberry_core::Name;
 use bilberry_core::ReportedLimit;
 use bytes::Bytes;
@@ -207,6 +208,12 @@
     /// Decodes the response to a stop request.
     fn stop_reply(&self, status: StatusCode, body: &[u8]) -> StopReply;
 
+    /// Builds the request to an upstream to tell when it started.
+    fn start_call(&self, upstream: SocketAddr) -> Request<Full<Bytes>>;
+
+    /// Decodes the response to such a request; `None` if it does not contain the start.
+    fn start_reply(&self, status: StatusCode, body: &[u8]) -> Option<Incarnation>;
+
     /// Decodes the status that an upstream reports with a response.
     fn server_status(&self, status: StatusCode, headers: &HeaderMap) -> ServerStatus;
 }
--- a/crates/bilberry-gateway/src/connections.rs
+++ b/crates/bilberry-gateway/src/connections.rs
@@ -171,6 +171,17 @@
 }
 
 impl Connection {
+    /// Returns the address of the upstream.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Waits until another request can be sent after a response was read completely.
+    pub(crate) async fn wait_until_ready(&mut self) -> Result<(), SendError> {
+        let ready = self.sender.ready().await;
+        ready.map_err(|error| SendError::NotSent(error.to_string()))
+    }
+
     /// Sends a request and waits for the head of the response.
     pub async fn send(
         &mut self,
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -27,6 +27,7 @@
 use crate::run_query::AwaitedRun;
 use crate::run_query::GivenUp;
 use crate::run_query::SLOW;
+use crate::stream_origin::RequiredSoftware;
 
 /// How many sends are allowed beyond the route's attempts if the request did not run.
 ///
@@ -170,8 +171,9 @@
 
     fn check_resend(&self, context: &RequestContext) -> Result<(), Refusal> {
         let attempts_used_up = context.sends >= context.route.max_attempts + EXTRA_SENDS;
-        // A connection that was never established put no load on any upstream.
-        let costs_nothing = context.detail == NOT_CONNECTED;
+        // A request that was never sent put no load on any upstream.
+        let costs_nothing =
+            context.detail == NOT_CONNECTED || context.detail == OTHER_START;
         match !attempts_used_up
             && self.has_time(context)
             && (costs_nothing
@@ -218,6 +220,11 @@
                 return SendOutcome::NotRun(NOT_CONNECTED);
             }
         };
+        let is_continued = context.start.required() != RequiredSoftware::Any;
+        if is_continued && !self.is_known_incarnation(&mut connection, &upstream).await {
+            self.return_permit(context);
+            return SendOutcome::NotRun(OTHER_START);
+        }
         context.sends += 1;
         let now = self.clock.now();
         context.sent_at = now;
@@ -406,6 +413,10 @@
 /// The name, in logs and metrics, of a send of which no byte was written.
 const NOT_CONNECTED: &str = "not_connected";
 
+/// The reason for a request that was not sent, as another process than the known one
+/// answers at the upstream's address.
+const OTHER_START: &str = "other_start";
+
 /// Returns how long to wait for the head of a response before a retry.
 fn response_timeout(context: &RequestContext, is_followed: bool) -> Duration {
     let factor = match context.route.kind.is_stream() {
--- a/crates/bilberry-gateway/src/stream_origin.rs
+++ b/crates/bilberry-gateway/src/stream_origin.rs
@@ -1,6 +1,7 @@
 //! Keeps streams at the software version that began them.
 
 mod client;
+mod incarnation_check;
 mod required;
 mod takeup;
 
--- a/crates/bilberry-gateway/tests/admission.rs
+++ b/crates/bilberry-gateway/tests/admission.rs
@@ -13,6 +13,7 @@
 use bilberry_core::BootClock;
 use bilberry_core::BudgetLimits;
 use bilberry_core::Clock;
+use bilberry_core::Incarnation;
 use bilberry_core::Name;
 use bilberry_core::StorePosition;
 use bilberry_gateway::CallKind;
@@ -116,6 +117,14 @@
         StopReply::Unknown
     }
 
+    fn start_call(&self, _: SocketAddr) -> Request<Full<Bytes>> {
+        Request::default()
+    }
+
+    fn start_reply(&self, _: StatusCode, _: &[u8]) -> Option<Incarnation> {
+        None
+    }
+
     fn server_status(&self, _: StatusCode, _: &HeaderMap) -> ServerStatus {
         ServerStatus::default()
     }
