--- a/crates/bilberry-gateway/src/backup.rs
+++ b/crates/bilberry-gateway/src/backup.rs
@@ -28,10 +28,9 @@
 impl<D: Dialect, C: Clock> Gateway<D, C> {
     /// Chooses the engine that keeps a backup of the request's KV cache.
     ///
-    /// It must have the same weights and the same software, as a KV cache computed with
-    /// others can't be used.
-    /// An engine in the same data centre is preferred, as copies between data centres
-    /// take twice as long; then the one with the most free memory.
+    /// It must have the same weights and software, as a KV cache computed with others
+    /// can't be used. An engine in the same data centre is preferred, as copies between
+    /// data centres take twice as long; then the one with the most free memory.
     pub(crate) fn choose_backup(
         &self,
         context: &RequestContext,
--- a/crates/bilberry-gateway/src/stream_origin/takeup.rs
+++ b/crates/bilberry-gateway/src/stream_origin/takeup.rs
@@ -44,7 +44,7 @@
 const CONFIRMATION_TIMEOUT_MS: u64 = 1_900;
 
 /// The interval at which a waiting request checks again.
-const POLL_INTERVAL: Duration = Duration::from_millis(25);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The interval at which origins are passed on to new owners.
 const COMPLETE_INTERVAL: Duration = Duration::from_millis(100);
