Tell runs that were left from answers that ended for it in logs, metrics and losses

The line of a request that ended early with 'silent' was the same for a run that its engine ended and for one whose connection the entry closed. No decision is changed.

--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -91,7 +91,12 @@
         context: &mut RequestContext,
     ) -> Result<UpstreamResponse, Refusal> {
         let mut failed = None;
-        match (self.try_upstreams(context, &mut failed).await, failed) {
+        let left_runs = context.left_runs;
+        let result = self.try_upstreams(context, &mut failed).await;
+        if context.left_runs > left_runs {
+            self.record_left_run(context, result.is_ok());
+        }
+        match (result, failed) {
             (Ok(response), _) => Ok(response),
             (Err(_), Some(response)) => Ok(response),
             (Err(refusal), None) if context.runs > 0 && refusal.guarantees_not_run() => {
@@ -133,6 +138,7 @@
                     self.check_resend(context)?;
                 }
                 SendOutcome::MayHaveRun(reason) => {
+                    context.left_runs += u32::from(reason == SILENT);
                     self.metrics.count_send(reason);
                     context.detail = reason.to_string();
                     context.runs += 1;
@@ -143,6 +149,7 @@
                     self.check_rerun(context)?;
                 }
                 SendOutcome::Lost(reason) => {
+                    context.left_runs += 1;
                     self.metrics.count_send(reason.label());
                     context.detail = reason.as_str().to_string();
                     context.runs += 1;
@@ -261,7 +268,7 @@
             }
             given_up = self.wait_for_alternative(context, awaited), if may_repeat => {
                 return match given_up {
-                    GivenUp::TimedOut => SendOutcome::MayHaveRun("silent"),
+                    GivenUp::TimedOut => SendOutcome::MayHaveRun(SILENT),
                     GivenUp::Lost(reason) => SendOutcome::Lost(reason),
                 };
             }
@@ -431,6 +438,9 @@
     }
 }
 
+/// The name, in logs and metrics, of a send without a response that was given up.
+const SILENT: &str = "silent";
+
 /// The name, in logs and metrics, of a send of which no byte was written.
 const NOT_CONNECTED: &str = "not_connected";
 
--- a/crates/bilberry-gateway/src/metrics.rs
+++ b/crates/bilberry-gateway/src/metrics.rs
@@ -52,6 +52,8 @@
     pub admission_wait_seconds: Histogram,
     /// Queries about the progress of silent runs, by outcome.
     pub run_queries: Family<OutcomeLabel, Counter>,
+    /// Runs given up while their upstreams were connected, by what became of the answer.
+    pub left_runs: Family<OutcomeLabel, Counter>,
     /// Runs that were in progress at an upstream when it crashed.
     pub crashed_runs: Counter,
     /// Those of them that had not sent their first event.
@@ -110,6 +112,7 @@
             admissions: Family::default(),
             admission_wait_seconds: histogram(),
             run_queries: Family::default(),
+            left_runs: Family::default(),
             crashed_runs: Counter::default(),
             closed_connections: Counter::default(),
             trials: Counter::default(),
@@ -142,6 +145,8 @@
         registry.register("sends", "Sends to upstreams", self.sends.clone());
         let help = "Queries about the progress of silent runs";
         registry.register("run_queries", help, self.run_queries.clone());
+        let help = "Runs given up while connected by what became of the answer";
+        registry.register("left_runs", help, self.left_runs.clone());
         let help = "Runs in progress at an upstream when it crashed";
         registry.register("crashed_runs", help, self.crashed_runs.clone());
         let help = "New connections closed unread in an overload";
@@ -214,6 +219,11 @@
         self.run_queries.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a run that was given up while its upstream was connected.
+    pub(crate) fn count_left_run(&self, outcome: &'static str) {
+        self.left_runs.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts units by the decision on their charge.
     pub fn count_quota(&self, outcome: &'static str, units: f64) {
         self.quota_units.get_or_create(&OutcomeLabel { outcome }).inc_by(units as u64);
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -57,6 +57,9 @@
 /// The reason for a silent stream whose run may continue at its upstream.
 const SILENT: &str = "silent";
 
+/// The detail of a request whose run was given up and not replaced by another.
+const NOT_REPLACED: &str = "no other run replaced it";
+
 /// The silence after which a stream is resumed if the route states no event gap.
 const DEFAULT_SILENCE_MS: u64 = 1_000;
 
@@ -170,6 +173,7 @@
             self.withdraw_uncertain_origin(context);
             context.runs += 1;
             context.detail = reason.to_string();
+            context.left_runs += u32::from(is_silent);
             // Close the connection before another upstream resumes the stream: this ends
             // a repeatable run. It does not prove that the run ended, as a suspended
             // upstream does not notice the close.
@@ -179,6 +183,9 @@
                 next = self.resume(context, &splitter, &upstream, first_run_end) => next,
                 _ = pieces.closed() => return BodyEnd::CallerLeft,
             };
+            if is_silent {
+                self.record_left_run(context, resumed.is_some());
+            }
             match resumed {
                 Some(next) => response = next,
                 None => return BodyEnd::Broken(reason),
@@ -369,6 +376,21 @@
         }
     }
 
+    /// Counts a run that was given up, and notes in the log whether another replaced it.
+    pub(crate) fn record_left_run(
+        &self,
+        context: &mut RequestContext,
+        is_replaced: bool,
+    ) {
+        match is_replaced {
+            true => self.metrics.count_left_run("replaced"),
+            false => {
+                self.metrics.count_left_run("answer_ended");
+                context.add_detail(NOT_REPLACED);
+            }
+        }
+    }
+
     fn record_pace(&self, context: &RequestContext) {
         let Some(first_byte_ms) = context.first_byte_ms else { return };
         let took_ms = self.clock.now().ms_since(context.arrived_at) - first_byte_ms;
--- a/crates/bilberry-gateway/src/request_context.rs
+++ b/crates/bilberry-gateway/src/request_context.rs
@@ -113,6 +113,8 @@
     pub run_has_head: bool,
     /// When the current run sent its first event.
     pub run_first_event_at: Option<UnixMs>,
+    /// How many runs the entry gave up while their upstreams were still connected.
+    pub left_runs: u32,
     /// Why the last send failed.
     pub detail: String,
 }
--- a/crates/bilberry-gateway/src/request_log.rs
+++ b/crates/bilberry-gateway/src/request_log.rs
@@ -63,6 +63,7 @@
         config = context.config_version,
         tried = tried.join(",").as_str(),
         sends = context.sends,
+        left_runs = context.left_runs,
         detail = context.detail.as_str(),
         last_event = context.call.last_event.map_or(-1, |event| event as i64),
         resumes = context.call.resumes.as_ref().map_or("", |attempt| attempt.as_str()),
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -216,6 +216,7 @@
             first_byte_ms: None,
             run_has_head: false,
             run_first_event_at: None,
+            left_runs: 0,
             detail: String::new(),
         };
         Ok((policy, context))
--- a/crates/bilberry-steward/src/engine_controller.rs
+++ b/crates/bilberry-steward/src/engine_controller.rs
@@ -297,13 +297,15 @@
             return;
         }
         let (running, queued) = (report.running, report.queued);
+        let loading = report.busy;
         match stalled {
             true => {
                 self.metrics.stalls.inc();
                 log::warn!(target: "engine", running, queued; "runs make no progress");
             }
             false => {
-                log::info!(target: "engine", running, queued; "runs make progress again");
+                self.metrics.ended_stalls.inc();
+                log::info!(target: "engine", running, queued, loading; "runs make progress again");
             }
         }
     }
--- a/crates/bilberry-steward/src/metrics.rs
+++ b/crates/bilberry-steward/src/metrics.rs
@@ -84,6 +84,8 @@
     pub engine_stalled: Gauge,
     /// How often the engine's runs ceased to make progress.
     pub stalls: Counter,
+    /// Those after which the engine went on without a restart: it was slow, not hung.
+    pub ended_stalls: Counter,
     /// Requests running at the engine.
     pub running: Gauge,
     /// Requests queued at the engine.
@@ -116,6 +118,7 @@
             engine_up: Gauge::default(),
             engine_stalled: Gauge::default(),
             stalls: Counter::default(),
+            ended_stalls: Counter::default(),
             running: Gauge::default(),
             queued: Gauge::default(),
             used_tokens: Gauge::default(),
@@ -146,6 +149,9 @@
         registry.register("engine_stalled", help, stalled);
         let stalls = self.stalls.clone();
         registry.register("stalls", "Stalls of the engine's runs", stalls);
+        let ended = self.ended_stalls.clone();
+        let help = "Stalls after which the engine went on without a restart";
+        registry.register("ended_stalls", help, ended);
         registry.register("running", "Requests that run", self.running.clone());
         registry.register("queued", "Requests that wait", self.queued.clone());
         let used = self.used_tokens.clone();
--- a/crates/bilberryctl/src/losses.rs
+++ b/crates/bilberryctl/src/losses.rs
@@ -112,7 +112,11 @@
         return Some("no_room, waited for admission".to_string());
     }
     if line.message != "served" {
-        return Some(format!("{}{why}", line.message));
+        let left = match line.number("left_runs") {
+            0 => "",
+            _ => ", left its run",
+        };
+        return Some(format!("{}{left}{why}", line.message));
     }
     let first_byte_ms = line.number("first_byte_ms");
     let target_ms = line.number("target_ms");
