Keep a suspected run connected until its successor has begun to answer

Callers saw answers that ended while their engine paused and went on. Cause: an entry left a run by closing its connection, and only then asked for a retry, a place, a permit, and the second engine; each may fail. Class: a resource is given up before its replacement is held (check then act; can_send_elsewhere looked at budget and room and took neither).

Now a run that counts as lost stays connected and read while a successor is begun; it is left with the first event of the successor (the head of a plain response), and the successor is cancelled if the run goes on before that. A successor that fails is followed by another after 250 ms. A sidecar's word that an engine is down suspects its runs and ends none. Retries of successors that were not sent are returned to the budget.

--- a/crates/bilberry-core/src/shared_retry_budget.rs
+++ b/crates/bilberry-core/src/shared_retry_budget.rs
@@ -96,6 +96,14 @@
         has_left
     }
 
+    /// Returns a retry that was spent at `spent_at` and not used.
+    pub fn refund(&mut self, spent_at: UnixMs) {
+        let start = UnixMs(spent_at.0 / BUCKET_MS * BUCKET_MS);
+        if let Some(bucket) = self.buckets.iter_mut().find(|it| it.start == start) {
+            bucket.retries = bucket.retries.saturating_sub(1);
+        }
+    }
+
     /// Reports whether one more retry is within the budget.
     pub fn has_left(
         &mut self,
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -6,10 +6,11 @@
 use std::time::Duration;
 
 use bilberry_core::Clock;
-use bilberry_core::LossReason;
 use bilberry_core::RequestStatus;
 use bilberry_core::RetryKind;
+use bytes::Bytes;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -26,9 +27,12 @@
 use crate::SendError;
 use crate::Upstream;
 use crate::run_query::AwaitedRun;
-use crate::run_query::GivenUp;
 use crate::run_query::SLOW;
+use crate::run_query::Suspicion;
+use crate::run_query::wait_until_replaced;
 use crate::stream_origin::RequiredSoftware;
+use crate::successor::BegunRun;
+use crate::successor::RunOutcome;
 
 /// How many sends are allowed beyond the route's attempts if the request did not run.
 ///
@@ -56,26 +60,25 @@
 /// follows the loss of engines.
 const LIVE_STREAM_TIMEOUT_FACTOR: f64 = 5.0;
 
-/// The interval at which a silent send is checked for an alternative upstream.
-const ALTERNATIVE_POLL_INTERVAL: Duration = Duration::from_millis(25);
-
 /// The head of an upstream's response, with the body still to be read.
 #[derive(Debug)]
 pub(crate) struct UpstreamResponse {
     pub http: Response<Incoming>,
     pub connection: Connection,
     pub reservation: Reservation,
+    /// What was received of the body before it is relayed.
+    pub received: Bytes,
 }
 
 /// The outcome of one send.
 enum SendOutcome {
     Responded(Box<UpstreamResponse>),
+    /// The successor of a run that counted as lost responded.
+    Replaced(Box<UpstreamResponse>),
     /// The request did not run, so it may be sent to another upstream.
     NotRun(&'static str),
     /// The request may have run or may still run.
     MayHaveRun(&'static str),
-    /// The run is lost according to the engine's sidecar, but may continue.
-    Lost(LossReason),
     /// The caller's deadline has passed.
     Expired,
 }
@@ -91,12 +94,7 @@
         context: &mut RequestContext,
     ) -> Result<UpstreamResponse, Refusal> {
         let mut failed = None;
-        let left_runs = context.left_runs;
-        let result = self.try_upstreams(context, &mut failed).await;
-        if context.left_runs > left_runs {
-            self.record_left_run(context, result.is_ok());
-        }
-        match (result, failed) {
+        match (self.try_upstreams(context, &mut failed).await, failed) {
             (Ok(response), _) => Ok(response),
             (Err(_), Some(response)) => Ok(response),
             (Err(refusal), None) if context.runs > 0 && refusal.guarantees_not_run() => {
@@ -137,8 +135,8 @@
                     context.detail = reason.to_string();
                     self.check_resend(context)?;
                 }
+                SendOutcome::Replaced(response) => return Ok(*response),
                 SendOutcome::MayHaveRun(reason) => {
-                    context.left_runs += u32::from(reason == SILENT);
                     self.metrics.count_send(reason);
                     context.detail = reason.to_string();
                     context.runs += 1;
@@ -148,13 +146,6 @@
                     }
                     self.check_rerun(context)?;
                 }
-                SendOutcome::Lost(reason) => {
-                    context.left_runs += 1;
-                    self.metrics.count_send(reason.label());
-                    context.detail = reason.as_str().to_string();
-                    context.runs += 1;
-                    self.check_rerun(context)?;
-                }
                 SendOutcome::Expired => {
                     self.metrics.count_send("expired");
                     return Err(Refusal::DeadlinePassed);
@@ -250,33 +241,46 @@
         context.was_suspect = self.standing(context).status != RequestStatus::Good;
         context.earlier_crashes = self.earlier_crashes(context, &upstream);
         let repeatable = context.route.kind.is_repeatable();
-        let may_repeat = self.may_run_after(context, context.runs + 1);
         let left = context.deadline.remaining(now);
-        let max_wait = response_timeout(context, upstream.has_current_feed(now));
+        let max_silence = response_timeout(context, upstream.has_current_feed(now));
         let was_slow = AtomicBool::new(false);
         let awaited = AwaitedRun {
             upstream: &upstream,
-            max_silence: max_wait,
+            max_silence,
             is_observed: self.observes_runs(&context.pool.name),
             was_slow: &was_slow,
             retry: RetryKind::Resend,
+            last_event: None,
         };
-        let sent = tokio::select! {
-            sent = connection.send(request) => sent,
-            _ = upstream.wait_until_lost(), if repeatable => {
-                Err(SendError::NoResponse("the upstream is down".to_string()))
-            }
-            given_up = self.wait_for_alternative(context, awaited), if may_repeat => {
-                return match given_up {
-                    GivenUp::TimedOut => SendOutcome::MayHaveRun(SILENT),
-                    GivenUp::Lost(reason) => SendOutcome::Lost(reason),
-                };
+        let sending = async {
+            tokio::select! {
+                sent = connection.send(request) => sent,
+                _ = wait_until_replaced(&upstream), if repeatable => {
+                    Err(SendError::NoResponse("the upstream has ended".to_string()))
+                }
             }
+        };
+        let responding = tokio::select! {
+            responding = self.await_run(context, awaited, sending, is_failure) => responding,
             _ = sleep(left) => {
+                context.count_unused_successors();
                 note_if_slow(context, &was_slow);
                 return SendOutcome::Expired;
             }
         };
+        let sent = match responding {
+            RunOutcome::Made(sent) => sent,
+            RunOutcome::Replaced(begun) => {
+                let BegunRun { context: successor, response, suspicion } = *begun;
+                if suspicion == Suspicion::Down {
+                    self.record_interrupted_run(context, &upstream);
+                }
+                self.metrics.count_send(suspicion.label());
+                self.metrics.count_left_run("replaced");
+                context.adopt(successor, suspicion);
+                return SendOutcome::Replaced(Box::new(response));
+            }
+        };
         note_if_slow(context, &was_slow);
         match sent {
             Ok(response) => {
@@ -297,24 +301,6 @@
         }
     }
 
-    /// Waits until a silent run is given up and the request can be sent to another
-    /// upstream.
-    ///
-    /// A response that comes late is worth more than the end of the only run.
-    async fn wait_for_alternative(
-        &self,
-        context: &RequestContext,
-        run: AwaitedRun<'_>,
-    ) -> GivenUp {
-        let silent = run.upstream;
-        let given_up = self.wait_until_given_up(context, run).await;
-        silent.record_failure(self.clock.now());
-        while !self.can_send_elsewhere(context, RetryKind::Resend) {
-            sleep(ALTERNATIVE_POLL_INTERVAL).await;
-        }
-        given_up
-    }
-
     /// Reports whether the retry budget and the capacity of an untried upstream allow
     /// another send.
     pub(crate) fn can_send_elsewhere(
@@ -332,7 +318,7 @@
             let offer = other.offer(now, &self.settings.data_centre, context.pool.engine);
             offer.usable && offer.free_slots > 0
         };
-        untried.any(has_capacity) && self.may_spend_retry(&context.pool.name, retry)
+        self.may_spend_retry(&context.pool.name, retry) && untried.any(has_capacity)
     }
 
     /// Sends the request to the engine that holds a backup of its KV cache.
@@ -406,6 +392,7 @@
                     http: response,
                     connection,
                     reservation,
+                    received: Bytes::new(),
                 }))
             }
             ResponseClass::Busy => {
@@ -438,9 +425,6 @@
     }
 }
 
-/// The name, in logs and metrics, of a send without a response that was given up.
-const SILENT: &str = "silent";
-
 /// The name, in logs and metrics, of a send of which no byte was written.
 const NOT_CONNECTED: &str = "not_connected";
 
@@ -452,7 +436,17 @@
 /// quarantined meanwhile.
 const QUARANTINED: &str = "quarantined";
 
-/// Returns how long to wait for the head of a response before a retry.
+/// Reports whether a send has failed, or was rejected in a way that another upstream may
+/// not reject it.
+fn is_failure(sent: &Result<Response<Incoming>, SendError>) -> bool {
+    match sent.as_ref().map(|response| response.status()) {
+        Ok(StatusCode::MISDIRECTED_REQUEST | StatusCode::TOO_MANY_REQUESTS) => true,
+        Ok(status) => status.is_server_error(),
+        Err(_) => true,
+    }
+}
+
+/// Returns how long to wait for the head of a response before the run is suspected.
 fn response_timeout(context: &RequestContext, is_followed: bool) -> Duration {
     let factor = match context.route.kind.is_stream() {
         true if is_followed => LIVE_STREAM_TIMEOUT_FACTOR,
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -277,6 +277,11 @@
         self.with_budget(pool, |budget| budget.spend(now, entries, repeat))
     }
 
+    /// Returns a retry that was taken at `spent_at` and not used.
+    pub(crate) fn refund_retry(&self, pool: &Name, spent_at: UnixMs) {
+        self.with_budget(pool, |budget| budget.refund(spent_at));
+    }
+
     /// Reports whether the service's retry budget has a retry left.
     pub(crate) fn may_spend_retry(&self, pool: &Name, repeat: RetryKind) -> bool {
         let now = self.clock.now();
--- a/crates/bilberry-gateway/src/lib.rs
+++ b/crates/bilberry-gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod store_contents;
 mod store_watch;
 mod stream_origin;
+mod successor;
 mod trials;
 mod upstream;
 mod upstreams;
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -36,48 +36,34 @@
 use crate::crashes::SOUND_AFTER_MS;
 use crate::forward::UpstreamResponse;
 use crate::run_query::AwaitedRun;
-use crate::run_query::GivenUp;
 use crate::run_query::SLOW;
+use crate::run_query::Suspicion;
+use crate::run_query::wait_until_lost;
 use crate::run_stop::FirstRunEnd;
 use crate::run_stop::RunTakeover;
 use crate::run_stop::STOP_REPLY_TIMEOUT;
+use crate::successor::BegunRun;
+use crate::successor::RunOutcome;
 
 /// The silence after which a stream is resumed, as a multiple of the route's event gap.
 const SILENCE_GAP_FACTOR: u64 = 4;
 
-/// How long a stream may be silent after its upstream is reported lost.
-///
-/// This is ten times the usual gap between two events. A stream that is resumed then is
-/// still within the gap that most routes allow.
-const LOST_GRACE: Duration = Duration::from_millis(200);
-
 /// The reason for a silent stream whose run has ended at its upstream.
 const SILENT_RUN_ENDED: &str = "silent, run ended at its upstream";
 
-/// The reason for a silent stream whose run may continue at its upstream.
-const SILENT: &str = "silent";
-
 /// The detail of a request whose run was given up and not replaced by another.
 const NOT_REPLACED: &str = "no other run replaced it";
 
 /// The silence after which a stream is resumed if the route states no event gap.
 const DEFAULT_SILENCE_MS: u64 = 1_000;
 
-/// Waits until the sidecar reports the upstream as lost and [`LOST_GRACE`] has passed.
-///
-/// Each event restarts this wait. An upstream that shuts down answers no health checks
-/// but still finishes its runs. If the sidecar's report alone were enough, at-most-once
-/// streams would be cut off and lost.
-async fn wait_until_lost(upstream: &Upstream) {
-    upstream.wait_until_lost().await;
-    sleep(LOST_GRACE).await;
-}
-
 /// How an upstream's part of a stream ended.
 enum RelayEnd {
     /// The stream has ended for its caller.
     Finished(BodyEnd),
-    /// Another upstream may resume the stream.
+    /// Another run has begun to continue the stream.
+    Replaced(Box<BegunRun>),
+    /// The run has ended, and another upstream may resume the stream.
     ///
     /// For an at-most-once stream, `first_run_end` is how the run ended, if known.
     /// `is_silent` means that neither side has closed the stream, so its end says nothing
@@ -94,11 +80,6 @@
     fn may_still_run(reason: &'static str) -> Self {
         Self::Interrupted { reason, first_run_end: None, is_silent: false }
     }
-
-    /// The end of a stream whose upstream is silent and may still run the request.
-    fn silent(reason: &'static str) -> Self {
-        Self::Interrupted { reason, first_run_end: None, is_silent: true }
-    }
 }
 
 impl<D: Dialect, C: Clock> Gateway<D, C> {
@@ -159,6 +140,10 @@
                 RelayEnd::Interrupted { reason, first_run_end, is_silent } => {
                     (reason, first_run_end, is_silent)
                 }
+                RelayEnd::Replaced(begun) => {
+                    response = self.adopt_run(context, &mut splitter, response, *begun);
+                    continue;
+                }
                 RelayEnd::Finished(BodyEnd::Complete) => {
                     self.keep_connection(response);
                     return BodyEnd::Complete;
@@ -193,6 +178,26 @@
         }
     }
 
+    /// Leaves the run of a stream for its successor; returns the response of the latter.
+    fn adopt_run(
+        self: &Arc<Self>,
+        context: &mut RequestContext,
+        splitter: &mut EventSplitter,
+        left: UpstreamResponse,
+        begun: BegunRun,
+    ) -> UpstreamResponse {
+        let BegunRun { context: successor, response, suspicion } = begun;
+        if suspicion == Suspicion::Down {
+            self.record_interrupted_run(context, &left.reservation.upstream);
+        }
+        drop(left);
+        splitter.drop_partial();
+        context.adopt(successor, suspicion);
+        self.metrics.resumed.inc();
+        self.metrics.count_left_run("replaced");
+        response
+    }
+
     /// Resumes a stream on another upstream after the last complete event.
     async fn resume(
         self: &Arc<Self>,
@@ -221,17 +226,22 @@
         Some(response)
     }
 
+    /// Returns the longest silence of a stream before its run is suspected.
+    pub(crate) fn max_stream_silence(&self, context: &RequestContext) -> Duration {
+        let silence_ms =
+            context.route.gap_ms.map_or(DEFAULT_SILENCE_MS, |g| g * SILENCE_GAP_FACTOR);
+        Duration::from_millis(silence_ms.max(context.route.target_ms * 2))
+    }
+
     async fn relay_from_upstream(
-        &self,
+        self: &Arc<Self>,
         context: &mut RequestContext,
         response: &mut UpstreamResponse,
         splitter: &mut EventSplitter,
         pieces: &mpsc::Sender<BodyChunk>,
         was_slow: &AtomicBool,
     ) -> RelayEnd {
-        let silence_ms =
-            context.route.gap_ms.map_or(DEFAULT_SILENCE_MS, |g| g * SILENCE_GAP_FACTOR);
-        let silence = Duration::from_millis(silence_ms.max(context.route.target_ms * 2));
+        let silence = self.max_stream_silence(context);
         let upstream = response.reservation.upstream.clone();
         let is_framed = is_framed(response.http.headers());
         let run_takeover = self.run_takeover(context, &upstream);
@@ -248,22 +258,18 @@
                 is_observed,
                 was_slow,
                 retry: RetryKind::Resume,
+                last_event: splitter.last_id(),
             };
-            let may_resume = self.may_run_after(context, context.runs + 1);
             let left = context.deadline.remaining(self.clock.now());
-            let frame = tokio::select! {
-                frame = response.http.body_mut().frame() => frame,
+            let next = next_frame(response);
+            let ends_early = |frame: &Option<Result<Frame<Bytes>, hyper::Error>>| {
+                matches!(frame, Some(Err(_)))
+                    || frame.is_none() && !splitter.is_at_boundary()
+            };
+            let made = tokio::select! {
+                made = self.await_run(context, awaited, next, ends_early) => made,
                 _ = pieces.closed() => return RelayEnd::Finished(BodyEnd::CallerLeft),
                 _ = sleep(left) => return RelayEnd::Finished(BodyEnd::DeadlinePassed),
-                given_up = self.wait_until_given_up(context, awaited), if may_resume => {
-                    return RelayEnd::silent(match given_up {
-                        GivenUp::TimedOut => SILENT,
-                        GivenUp::Lost(reason) => reason.as_str(),
-                    });
-                }
-                _ = wait_until_lost(&upstream), if may_resume => {
-                    return RelayEnd::may_still_run("lost");
-                }
                 run = self.wait_until_unresponsive(run, silence, is_observed),
                     if run_end.is_terminated() =>
                 {
@@ -280,6 +286,10 @@
                     };
                 }
             };
+            let frame = match made {
+                RunOutcome::Made(frame) => frame,
+                RunOutcome::Replaced(begun) => return RelayEnd::Replaced(begun),
+            };
             let is_stop_requested = run.is_some_and(RunTakeover::is_stop_requested);
             let bytes = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
@@ -370,7 +380,7 @@
     ///
     /// A connection that delimits its response by its end is not used again.
     pub(crate) fn keep_connection(&self, response: UpstreamResponse) {
-        let UpstreamResponse { http, connection, reservation } = response;
+        let UpstreamResponse { http, connection, reservation, .. } = response;
         if is_framed(http.headers()) && !reservation.upstream.has_ended() {
             self.connections.put_idle(connection, http.headers());
         }
@@ -445,6 +455,16 @@
     }
 }
 
+/// Reads the next frame of a response, and before that what was received of it already.
+async fn next_frame(
+    response: &mut UpstreamResponse,
+) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+    if !response.received.is_empty() {
+        return Some(Ok(Frame::data(std::mem::take(&mut response.received))));
+    }
+    response.http.body_mut().frame().await
+}
+
 /// Reports whether a response is an event stream.
 pub(crate) fn is_stream(context: &RequestContext, response: &Response<Incoming>) -> bool {
     context.route.kind.is_stream() && response.status().is_success()
--- a/crates/bilberry-gateway/src/request_context.rs
+++ b/crates/bilberry-gateway/src/request_context.rs
@@ -22,13 +22,14 @@
 use crate::Upstream;
 use crate::quota_client::ChargedQuota;
 use crate::stream_origin::StreamStart;
+use crate::successor::UnusedSuccessors;
 use crate::trials::Trial;
 
 /// The salt scope of customers whose cached prompts may be shared.
 const SHARED_SALT_SCOPE: &str = "shared";
 
 /// The state of a request while the entry handles it.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct RequestContext {
     /// The decoded headers of the caller.
     pub call: RequestMetadata,
@@ -115,6 +116,8 @@
     pub run_first_event_at: Option<UnixMs>,
     /// How many runs the entry gave up while their upstreams were still connected.
     pub left_runs: u32,
+    /// The successors of the current run that did not replace it.
+    pub(crate) unused_successors: UnusedSuccessors,
     /// Why the last send failed.
     pub detail: String,
 }
--- a/crates/bilberry-gateway/src/run_query.rs
+++ b/crates/bilberry-gateway/src/run_query.rs
@@ -21,6 +21,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio::time::timeout;
 
 use crate::Dialect;
@@ -34,6 +35,15 @@
 /// not fit are decided by their timeouts.
 pub(crate) const RUN_QUERY_QUEUE_CAPACITY: usize = 256;
 
+/// How long a stream may be silent after its upstream is reported lost.
+///
+/// This is ten times the usual gap between two events. A stream that is resumed then is
+/// still within the gap that most routes allow.
+const LOST_GRACE: Duration = Duration::from_millis(200);
+
+/// The interval at which a silent run is checked for an alternative upstream.
+const ALTERNATIVE_POLL_INTERVAL: Duration = Duration::from_millis(25);
+
 /// How long a sidecar may take to reply.
 ///
 /// Callers give up a silent stream after seconds; a sidecar that takes longer than this
@@ -43,7 +53,7 @@
 /// The interval at which a slow run is queried again.
 ///
 /// A run that is lost later must be resumed before its caller gives up.
-const QUERY_INTERVAL: Duration = Duration::from_millis(250);
+pub(crate) const QUERY_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The silence after which a run at a stalled engine is queried about.
 ///
@@ -86,20 +96,42 @@
     }
 }
 
-/// Why a silent run is given up.
+/// Why a run counts as lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum GivenUp {
+pub(crate) enum Suspicion {
     /// It was silent for the longest time allowed, and its progress is unknown.
-    TimedOut,
+    Silent,
     /// It counts as lost according to its engine's sidecar.
     Lost(LossReason),
+    /// Its upstream is reported as down, or another incarnation has replaced it.
+    Down,
+}
+
+impl Suspicion {
+    /// The name in the request log.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Silent => "silent",
+            Self::Lost(reason) => reason.as_str(),
+            Self::Down => "lost",
+        }
+    }
+
+    /// The name in metrics.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            Self::Silent => "silent",
+            Self::Lost(reason) => reason.label(),
+            Self::Down => "no_answer",
+        }
+    }
 }
 
 /// A run whose progress its entry waits for.
 #[derive(Debug)]
 pub(crate) struct AwaitedRun<'a> {
     pub(crate) upstream: &'a Upstream,
-    /// The silence after which a run of unknown progress is given up.
+    /// The silence after which a run of unknown progress counts as lost.
     pub(crate) max_silence: Duration,
     /// Whether sidecars observe the runs of the service.
     pub(crate) is_observed: bool,
@@ -107,57 +139,92 @@
     pub(crate) was_slow: &'a AtomicBool,
     /// How the request would be sent to another upstream.
     pub(crate) retry: RetryKind,
+    /// The last event that the caller has, if the run has made any.
+    pub(crate) last_event: Option<u64>,
 }
 
 impl<D: Dialect, C: Clock> Gateway<D, C> {
-    /// Waits until a silent run is given up.
+    /// Waits until a run counts as lost and another upstream could take the request.
+    ///
+    /// Returns at `not_before` at the earliest.
+    pub(crate) async fn wait_until_suspected(
+        &self,
+        context: &RequestContext,
+        run: &AwaitedRun<'_>,
+        silent_since: Instant,
+        not_before: Instant,
+    ) -> Suspicion {
+        let suspicion = tokio::select! {
+            suspicion = self.wait_until_silent(context, run, silent_since, not_before) => {
+                return suspicion;
+            }
+            _ = wait_until_down(run) => Suspicion::Down,
+        };
+        sleep_until(not_before).await;
+        while !self.can_send_elsewhere(context, run.retry) {
+            sleep(ALTERNATIVE_POLL_INTERVAL).await;
+        }
+        suspicion
+    }
+
+    /// Waits until a run counts as lost because it is silent.
     ///
     /// The sidecar is queried once the run has been silent for the longest time allowed,
     /// and at once if it reports that the engine has stalled. A run at an engine that has
     /// stalled already is queried about earlier.
-    pub(crate) async fn wait_until_given_up(
+    async fn wait_until_silent(
         &self,
         context: &RequestContext,
-        run: AwaitedRun<'_>,
-    ) -> GivenUp {
-        let AwaitedRun { upstream, max_silence, is_observed, was_slow, retry } = run;
+        run: &AwaitedRun<'_>,
+        silent_since: Instant,
+        not_before: Instant,
+    ) -> Suspicion {
+        let AwaitedRun { upstream, max_silence, is_observed, was_slow, retry, .. } = *run;
+        let overdue_at = silent_since + max_silence;
         if !is_observed {
-            sleep(max_silence).await;
-            return GivenUp::TimedOut;
+            sleep_until(overdue_at.max(not_before)).await;
+            while !self.can_send_elsewhere(context, retry) {
+                sleep(ALTERNATIVE_POLL_INTERVAL).await;
+            }
+            return Suspicion::Silent;
         }
-        let silent_since = Instant::now();
         let mut stalls = upstream.subscribe_to_stalls();
-        let mut next_query_in = match upstream.is_stalled() {
-            true => max_silence.min(PROBE_SILENCE),
-            false => max_silence,
+        let first_query_at = match upstream.is_stalled() {
+            true => silent_since + max_silence.min(PROBE_SILENCE),
+            false => overdue_at,
         };
+        let mut query_at = first_query_at.max(not_before);
         loop {
             tokio::select! {
-                _ = sleep(next_query_in) => {}
-                _ = stalls.wait_for_next() => {}
+                _ = sleep_until(query_at) => {}
+                _ = stalls.wait_for_next() => sleep_until(not_before).await,
             }
             let silent = silent_since.elapsed();
             let verdict = self.judge_run(context, upstream, silent).await;
             let is_overdue = silent >= max_silence;
+            let next_query_at = Instant::now() + QUERY_INTERVAL;
             match verdict {
                 Some(SilenceVerdict::Lost(reason))
                     if (is_overdue || reason == LossReason::EngineStalled)
                         && self.can_send_elsewhere(context, retry) =>
                 {
                     log_lost_run(&context.call.attempt, upstream, silent, reason);
-                    return GivenUp::Lost(reason);
+                    return Suspicion::Lost(reason);
                 }
                 // The engine may go on, and no other could take the run.
-                Some(SilenceVerdict::Lost(_)) => next_query_in = QUERY_INTERVAL,
+                Some(SilenceVerdict::Lost(_)) => query_at = next_query_at,
                 Some(SilenceVerdict::KeepWaiting) if is_overdue => {
                     if !was_slow.swap(true, Ordering::Relaxed) {
                         log_slow_run(&context.call.attempt, upstream, silent);
                     }
-                    next_query_in = QUERY_INTERVAL;
+                    query_at = next_query_at;
                 }
-                None if is_overdue => return GivenUp::TimedOut,
-                _ if upstream.is_stalled() => next_query_in = QUERY_INTERVAL,
-                _ => next_query_in = max_silence.saturating_sub(silent),
+                None if is_overdue && self.can_send_elsewhere(context, retry) => {
+                    return Suspicion::Silent;
+                }
+                None if is_overdue => query_at = next_query_at,
+                _ if upstream.is_stalled() => query_at = next_query_at,
+                _ => query_at = overdue_at,
             }
         }
     }
@@ -224,3 +291,29 @@
         "stream is silent; its engine is slow and is waited for"
     );
 }
+
+/// Waits until the sidecar reports the upstream of a run as lost, and [`LOST_GRACE`] longer
+/// if the caller has a part of the stream.
+async fn wait_until_down(run: &AwaitedRun<'_>) {
+    run.upstream.wait_until_lost().await;
+    if run.retry == RetryKind::Resume {
+        sleep(LOST_GRACE).await;
+    }
+}
+
+/// As `wait_until_down`, for a stream that its caller receives.
+///
+/// Each event restarts this wait. An upstream that shuts down answers no health checks
+/// but still finishes its runs.
+pub(crate) async fn wait_until_lost(upstream: &Upstream) {
+    upstream.wait_until_lost().await;
+    sleep(LOST_GRACE).await;
+}
+
+/// Waits until another incarnation has replaced an upstream.
+pub(crate) async fn wait_until_replaced(upstream: &Upstream) {
+    upstream.wait_until_lost().await;
+    while !upstream.has_ended() {
+        sleep(QUERY_INTERVAL).await;
+    }
+}
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -32,6 +32,7 @@
 use crate::plain_response::PlainResponse;
 use crate::relay::is_stream;
 use crate::stream_origin::StreamStart;
+use crate::successor::UnusedSuccessors;
 
 /// The timeout for receiving a request body.
 const BODY_TIMEOUT_MS: u64 = 10_000;
@@ -217,6 +218,7 @@
             run_has_head: false,
             run_first_event_at: None,
             left_runs: 0,
+            unused_successors: UnusedSuccessors::default(),
             detail: String::new(),
         };
         Ok((policy, context))
