Stop an at-most-once run only once its successor is reserved

Callers lost at-most-once streams whose engine paused: the entry asked the engine to stop the run and only then looked whether the engine with the backup could take it over (weights, software, leaving, pause), whether a retry was left and whether its limit permitted it.

A run that was stopped and that the other engine rejects goes on at its own engine, which keeps the KV cache under the same handle (published protocol), within the budget.

--- a/crates/bilberry-gateway/src/backup.rs
+++ b/crates/bilberry-gateway/src/backup.rs
@@ -21,6 +21,7 @@
 use crate::RequestContext;
 use crate::Reservation;
 use crate::Upstream;
+use crate::forward::CopySendError;
 use crate::forward::UpstreamResponse;
 use crate::run_stop::FirstRunEnd;
 use crate::run_stop::RunTakeover;
@@ -103,6 +104,7 @@
             return None;
         };
         let backup = context.backup.take()?;
+        let is_moved = matches!(first_run_end, FirstRunEnd::Moved(_));
         let copy = match first_run_end {
             FirstRunEnd::Moved(copy) => copy,
             // The KV cache may never have been copied. An engine that hangs does not look
@@ -116,16 +118,117 @@
                 KvCacheCopy { named_by: backup.address, name }
             }
         };
+        let reserved_at = context.takeover_reserved_at.take();
+        if let Some(obstacle) = self.takeover_obstacle(context, &backup, upstream) {
+            context.add_detail(obstacle);
+            return None;
+        }
+        if reserved_at.is_none() && !self.acquire_takeover(context, &backup).await {
+            return None;
+        }
+        let last_event = last_event.or(context.call.last_event);
+        let reservation = self.reserve_memory(context, backup);
+        let sent = self.send_to_backup(context, reservation, last_event, copy.clone());
+        let mut sent = sent.await;
+        if matches!(sent, Err(CopySendError::NotRun)) && is_moved {
+            // The engine that stopped the run keeps its KV cache as well.
+            context.add_detail("the backup engine rejected the run");
+            sent = self.resume_at_source(context, upstream, last_event, copy).await;
+        }
+        let response = sent.ok();
+        self.metrics.count_send(match response {
+            Some(_) => "resumed_from_copy",
+            None => "no_copy",
+        });
+        if response.is_none() {
+            context.add_detail("the backup engine did not resume the run");
+        }
+        response.filter(|response| response.http.status() == StatusCode::OK)
+    }
+
+    /// Resumes a run on the engine that has stopped it, as the other one rejected it.
+    async fn resume_at_source(
+        self: &Arc<Self>,
+        context: &mut RequestContext,
+        source: &Arc<Upstream>,
+        last_event: Option<u64>,
+        copy: KvCacheCopy,
+    ) -> Result<UpstreamResponse, CopySendError> {
+        if source.has_ended() || !self.acquire_takeover(context, source).await {
+            return Err(CopySendError::NotRun);
+        }
+        let reservation = self.reserve_memory(context, source.clone());
+        self.send_to_backup(context, reservation, last_event, copy).await
+    }
+
+    /// Takes the retry and the permit for the engine with the backup to take a run over;
+    /// returns whether the run may be stopped for it.
+    pub(crate) async fn reserve_takeover(
+        &self,
+        context: &mut RequestContext,
+        run: &RunTakeover,
+    ) -> bool {
+        let backup = &run.successor;
+        if self.takeover_obstacle(context, backup, &run.upstream).is_some() {
+            return false;
+        }
+        let now = self.clock.now();
+        let is_reserved = self.acquire_takeover(context, backup).await;
+        context.takeover_reserved_at = is_reserved.then_some(now);
+        is_reserved
+    }
+
+    /// Returns the retry and the permit of a takeover that is not needed.
+    pub(crate) fn release_takeover(&self, context: &mut RequestContext) {
+        if let Some(reserved_at) = context.takeover_reserved_at.take() {
+            self.refund_retry(&context.pool.name, reserved_at);
+            self.return_permit(context);
+        }
+    }
+
+    async fn acquire_takeover(
+        &self,
+        context: &mut RequestContext,
+        engine: &Arc<Upstream>,
+    ) -> bool {
+        let spent_at = self.clock.now();
+        if !self.try_spend_retry(&context.pool.name, RetryKind::Resume) {
+            context.add_detail("the retry budget is exhausted");
+            return false;
+        }
+        let is_permitted = self.acquire_permit(context, engine, false).await;
+        if !is_permitted {
+            self.refund_retry(&context.pool.name, spent_at);
+        }
+        is_permitted
+    }
+
+    fn reserve_memory(
+        &self,
+        context: &RequestContext,
+        engine: Arc<Upstream>,
+    ) -> Reservation {
+        let changed = self.upstreams.changed.clone();
+        Reservation::take(engine, context.call.memory_tokens(), 0, changed)
+    }
+
+    /// Returns why the engine with the backup can't take a run over, if it can't.
+    fn takeover_obstacle(
+        &self,
+        context: &RequestContext,
+        backup: &Upstream,
+        upstream: &Upstream,
+    ) -> Option<&'static str> {
         let model = context.call.model.as_deref().unwrap_or_default();
         let now = self.clock.now();
         let version = backup.weights(model, now);
         let is_excluded =
             self.classify_weights(version, model, now) == WeightsStatus::Excluded;
-        let obstacle = match () {
+        match () {
             _ if is_excluded => Some("the backup engine's weights are outdated"),
             // Either engine may have started again with other software.
             _ if backup.software_id() != upstream.software_id()
-                || !context.start.may_continue_at(&backup) =>
+                || !context.start.may_continue_at(backup) =>
             {
                 Some("the backup engine has other software")
             }
@@ -138,30 +241,7 @@
             _ if self.is_suspect(context) => {
                 Some("the request may crash the backup engine as well")
             }
-            _ if !self.try_spend_retry(&context.pool.name, RetryKind::Resume) => {
-                Some("the retry budget is exhausted")
-            }
             _ => None,
-        };
-        if let Some(obstacle) = obstacle {
-            context.add_detail(obstacle);
-            return None;
-        }
-        if !self.acquire_permit(context, &backup, false).await {
-            return None;
         }
-        let changed = self.upstreams.changed.clone();
-        let reservation =
-            Reservation::take(backup, context.call.memory_tokens(), 0, changed);
-        let last_event = last_event.or(context.call.last_event);
-        let response = self.send_to_backup(context, reservation, last_event, copy).await;
-        self.metrics.count_send(match response {
-            Some(_) => "resumed_from_copy",
-            None => "no_copy",
-        });
-        if response.is_none() {
-            context.add_detail("the backup engine did not resume the run");
-        }
-        response.filter(|response| response.http.status() == StatusCode::OK)
     }
 }
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -83,6 +83,15 @@
     Expired,
 }
 
+/// Why a run was not resumed from a copy of its KV cache.
+#[derive(Debug, Copy, Clone, PartialEq, Eq)]
+pub(crate) enum CopySendError {
+    /// The request did not run, so the copy is unused.
+    NotRun,
+    /// The request may have run or may still run.
+    MayHaveRun,
+}
+
 impl<D: Dialect, C: Clock> Gateway<D, C> {
     /// Sends the request to upstreams until one responds.
     ///
@@ -328,14 +337,15 @@
         reservation: Reservation,
         last_event: Option<u64>,
         copy: KvCacheCopy,
-    ) -> Option<UpstreamResponse> {
+    ) -> Result<UpstreamResponse, CopySendError> {
         let upstream = reservation.upstream.clone();
         context.tried.push(upstream.clone());
         let request = self.request(context, &reservation, last_event, Some(copy));
-        let mut connection = self.connections.get(upstream.address, true).await.ok()?;
+        let connected = self.connections.get(upstream.address, true).await;
+        let mut connection = connected.map_err(|_| CopySendError::NotRun)?;
         if self.is_suspect(context) {
             context.add_detail("the request may crash the backup engine as well");
-            return None;
+            return Err(CopySendError::MayHaveRun);
         }
         context.sends += 1;
         context.sent_at = self.clock.now();
@@ -345,18 +355,20 @@
         context.was_suspect = self.standing(context).status != RequestStatus::Good;
         context.earlier_crashes = self.earlier_crashes(context, &upstream);
         let left = context.deadline.remaining(context.sent_at);
-        let sent = timeout(left, connection.send(request)).await.ok()?;
-        let response = match sent {
+        let sent = timeout(left, connection.send(request)).await;
+        let response = match sent.map_err(|_| CopySendError::MayHaveRun)? {
             Ok(response) => response,
-            Err(_) => {
+            Err(SendError::NotSent(_)) => return Err(CopySendError::NotRun),
+            Err(SendError::NoResponse(_)) => {
                 self.record_interrupted_run(context, &upstream);
-                return None;
+                return Err(CopySendError::MayHaveRun);
             }
         };
         context.run_has_head = true;
         match self.classify_response(context, response, connection, reservation) {
-            SendOutcome::Responded(response) => Some(*response),
-            _ => None,
+            SendOutcome::Responded(response) => Ok(*response),
+            SendOutcome::NotRun(_) => Err(CopySendError::NotRun),
+            _ => Err(CopySendError::MayHaveRun),
         }
     }
 
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -7,7 +7,11 @@
 
 use bilberry_core::Clock;
 use bilberry_core::EventSplitter;
+use bilberry_core::Handover;
+use bilberry_core::HandoverEvent;
+use bilberry_core::HandoverStep;
 use bilberry_core::RetryKind;
+use bilberry_core::RunOverlap;
 use bilberry_node::BodyChunk;
 use bilberry_node::ResponseBody;
 use bytes::Bytes;
@@ -36,6 +40,7 @@
 use crate::crashes::SOUND_AFTER_MS;
 use crate::forward::UpstreamResponse;
 use crate::run_query::AwaitedRun;
+use crate::run_query::QUERY_INTERVAL;
 use crate::run_query::SLOW;
 use crate::run_query::Suspicion;
 use crate::run_query::wait_until_lost;
@@ -104,6 +109,8 @@
                 }
                 BodyEnd::Complete | BodyEnd::Broken(_) | BodyEnd::DeadlinePassed => {}
             }
+            context.count_unused_successors();
+            self.release_takeover(&mut context);
             self.record_outcome(&context, ended.outcome());
             if ended == BodyEnd::Complete {
                 self.record_pace(&context);
@@ -248,6 +255,8 @@
         let run = run_takeover.as_ref();
         let run_end = Fuse::terminated();
         tokio::pin!(run_end);
+        let mut handover = Handover::new(RunOverlap::Forbidden);
+        let mut unresponsive_after = silence;
         let mut has_started = false;
         let mut has_sound_parts = false;
         let is_observed = self.observes_runs(&context.pool.name);
@@ -270,10 +279,21 @@
                 made = self.await_run(context, awaited, next, ends_early) => made,
                 _ = pieces.closed() => return RelayEnd::Finished(BodyEnd::CallerLeft),
                 _ = sleep(left) => return RelayEnd::Finished(BodyEnd::DeadlinePassed),
-                run = self.wait_until_unresponsive(run, silence, is_observed),
-                    if run_end.is_terminated() =>
+                run = self.wait_until_unresponsive(run, unresponsive_after, is_observed),
+                    if !handover.has_successor() =>
                 {
-                    run_end.set(self.ensure_run_ended(run).fuse());
+                    handover.record(HandoverEvent::Suspected);
+                    let event = match self.reserve_takeover(context, run).await {
+                        true => HandoverEvent::Reserved,
+                        false => HandoverEvent::Failed,
+                    };
+                    match handover.record(event) {
+                        HandoverStep::Stop => {
+                            log_stop(run);
+                            run_end.set(self.ensure_run_ended(run).fuse());
+                        }
+                        _ => unresponsive_after = QUERY_INTERVAL,
+                    }
                     continue;
                 }
                 first_run_end = &mut run_end, if !run_end.is_terminated() => {
@@ -305,8 +325,11 @@
                     return wait_for_stop(relay_end, run, run_end).await;
                 }
             };
-            if !is_stop_requested {
+            unresponsive_after = silence;
+            if !is_stop_requested && handover.has_successor() {
                 run_end.set(Fuse::terminated());
+                handover = Handover::new(RunOverlap::Forbidden);
+                self.release_takeover(context);
             }
             if context.first_byte_ms.is_none() {
                 self.note_first_byte(context);
@@ -354,14 +377,6 @@
                 _ = wait_until_lost(&run.upstream) => break,
             }
         }
-        log::warn!(
-            target: "stream",
-            request = run.attempt.as_str(),
-            upstream = run.upstream.id.as_str(),
-            sidecar_heard = is_followed(),
-            engine_stalled = is_stalled();
-            "stream is silent; asking the upstream to stop the run"
-        );
         run.upstream.record_failure(self.clock.now());
         run
     }
@@ -412,6 +427,17 @@
     }
 }
 
+fn log_stop(run: &RunTakeover) {
+    log::warn!(
+        target: "stream",
+        request = run.attempt.as_str(),
+        upstream = run.upstream.id.as_str(),
+        successor = run.successor.id.as_str(),
+        engine_stalled = run.upstream.is_stalled();
+        "stream is silent; asking the upstream to stop the run"
+    );
+}
+
 /// Reports whether the headers delimit the body, so that its end can be distinguished
 /// from a closed connection.
 pub(crate) fn is_framed(headers: &HeaderMap) -> bool {
--- a/crates/bilberry-gateway/src/request_context.rs
+++ b/crates/bilberry-gateway/src/request_context.rs
@@ -83,6 +83,9 @@
     pub(crate) start: StreamStart,
     /// The upstream that keeps a backup of the request's KV cache.
     pub backup: Option<Arc<Upstream>>,
+    /// When the retry for this upstream to take the run over was spent, while the run may
+    /// still be in progress.
+    pub(crate) takeover_reserved_at: Option<UnixMs>,
     /// The version of the weights of the chosen upstream.
     pub weights: Option<u64>,
     /// How long these weights had been outdated when the request was placed.
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -203,6 +203,7 @@
             runs: 0,
             start: StreamStart::default(),
             backup: None,
+            takeover_reserved_at: None,
             weights: None,
             weights_outdated_ms: None,
             predicted: None,
@@ -391,7 +392,8 @@
 
 impl<D: Dialect, C: Clock> Drop for CallerGuard<D, C> {
     fn drop(&mut self) {
-        if let Some(context) = &self.context {
+        if let Some(context) = &mut self.context {
+            context.count_unused_successors();
             self.gateway.record_abandoned_run(context);
             self.gateway.record_outcome(context, "caller_left");
         }
