Do not take an at-most-once run for ended because its engine does not list it

The entry asks the engine to stop the run; the run is preempted, so the engine answers that there is no such run; the entry takes that for the end, finds no copy at the backup, and closes the stream with 3.0 s left. The run would have gone on, and a backup with a copy would have run it beside.

Class: absence of evidence taken for evidence. While the stream is open, 'no such run' proves nothing: the entry goes on reading and asks again with its backoff; such an answer stopped nothing, so progress withdraws the takeover. A run that was stopped and whose KV cache found no room elsewhere goes on at its own engine, which keeps it under the handle of its answer.

--- a/crates/bilberry-gateway/src/backup.rs
+++ b/crates/bilberry-gateway/src/backup.rs
@@ -104,36 +104,34 @@
             return None;
         };
         let backup = context.backup.take()?;
-        let is_moved = matches!(first_run_end, FirstRunEnd::Moved(_));
+        // An engine that stopped a run keeps its KV cache, whether it was transferred or not.
+        let kept = match &first_run_end {
+            FirstRunEnd::Moved(copy) | FirstRunEnd::Kept(copy) => Some(copy.clone()),
+            FirstRunEnd::Ended(_) => None,
+        };
         let copy = match first_run_end {
-            FirstRunEnd::Moved(copy) => copy,
+            FirstRunEnd::Moved(copy) => Some(copy),
             // The KV cache may never have been copied. An engine that hangs does not look
             // for a copy and runs the request from the beginning.
-            FirstRunEnd::Ended(_) if last_event.is_none() => {
-                context.add_detail("no event was received before the run ended");
-                return None;
-            }
-            FirstRunEnd::Ended(_) => {
+            FirstRunEnd::Ended(_) | FirstRunEnd::Kept(_) if last_event.is_none() => None,
+            FirstRunEnd::Ended(_) | FirstRunEnd::Kept(_) => {
                 let name = context.call.attempt.clone();
-                KvCacheCopy { named_by: backup.address, name }
+                Some(KvCacheCopy { named_by: backup.address, name })
             }
         };
-        let reserved_at = context.takeover_reserved_at.take();
-        if let Some(obstacle) = self.takeover_obstacle(context, &backup, upstream) {
-            context.add_detail(obstacle);
-            return None;
-        }
-        if reserved_at.is_none() && !self.acquire_takeover(context, &backup).await {
-            return None;
-        }
         let last_event = last_event.or(context.call.last_event);
-        let reservation = self.reserve_memory(context, backup);
-        let sent = self.send_to_backup(context, reservation, last_event, copy.clone());
-        let mut sent = sent.await;
-        if matches!(sent, Err(CopySendError::NotRun)) && is_moved {
-            // The engine that stopped the run keeps its KV cache as well.
-            context.add_detail("the backup engine rejected the run");
-            sent = self.resume_at_source(context, upstream, last_event, copy).await;
+        let mut sent = match copy {
+            Some(copy) => {
+                self.resume_at_backup(context, upstream, backup, last_event, copy).await
+            }
+            None => {
+                context.add_detail("no event was received before the run ended");
+                Err(CopySendError::NotRun)
+            }
+        };
+        self.release_takeover(context);
+        if let (Err(CopySendError::NotRun), Some(kept)) = (&sent, kept) {
+            sent = self.resume_at_source(context, upstream, last_event, kept).await;
         }
         let response = sent.ok();
         self.metrics.count_send(match response {
@@ -146,7 +144,32 @@
         response.filter(|response| response.http.status() == StatusCode::OK)
     }
 
-    /// Resumes a run on the engine that has stopped it, as the other one rejected it.
+    /// Resumes a run on the engine with the backup.
+    async fn resume_at_backup(
+        self: &Arc<Self>,
+        context: &mut RequestContext,
+        upstream: &Arc<Upstream>,
+        backup: Arc<Upstream>,
+        last_event: Option<u64>,
+        copy: KvCacheCopy,
+    ) -> Result<UpstreamResponse, CopySendError> {
+        if let Some(obstacle) = self.takeover_obstacle(context, &backup, upstream) {
+            context.add_detail(obstacle);
+            return Err(CopySendError::NotRun);
+        }
+        let is_reserved = context.takeover_reserved_at.take().is_some();
+        if !is_reserved && !self.acquire_takeover(context, &backup).await {
+            return Err(CopySendError::NotRun);
+        }
+        let reservation = self.reserve_memory(context, backup);
+        let sent = self.send_to_backup(context, reservation, last_event, copy).await;
+        if matches!(sent, Err(CopySendError::NotRun)) {
+            context.add_detail("the backup engine rejected the run");
+        }
+        sent
+    }
+
+    /// Resumes a run on the engine that has stopped it, as the other one did not.
     async fn resume_at_source(
         self: &Arc<Self>,
         context: &mut RequestContext,
--- a/crates/bilberry-gateway/src/call.rs
+++ b/crates/bilberry-gateway/src/call.rs
@@ -130,8 +130,9 @@
 pub enum StopReply {
     /// The run has stopped, and the next upstream holds its KV cache under this name.
     Transferred(Name),
-    /// The run has stopped, but its KV cache could not be transferred.
-    Stopped,
+    /// The run has stopped and its KV cache was not transferred; its engine keeps it under
+    /// this name.
+    Stopped(Name),
     /// There is no such run.
     NoSuchRun,
     /// The reply does not contain the state of the run.
--- a/crates/bilberry-gateway/src/run_stop.rs
+++ b/crates/bilberry-gateway/src/run_stop.rs
@@ -56,6 +56,8 @@
     Ended(RunEndReason),
     /// It was stopped, and the successor holds this copy of its KV cache.
     Moved(KvCacheCopy),
+    /// It was stopped, and its engine alone holds its KV cache.
+    Kept(KvCacheCopy),
 }
 
 /// An at-most-once run that another engine can take over.
@@ -166,7 +168,7 @@
         let upstream = run.upstream.address;
         let attempt = run.attempt.clone();
         let stop = StopCall { upstream, attempt, successor: run.successor.address };
-        run.stop_requested.store(true, Ordering::Relaxed);
+        let was_requested = run.stop_requested.swap(true, Ordering::Relaxed);
         let response = connection.send(self.dialect.stop_call(&stop)).await.ok()?;
         let status = response.status();
         self.record_control_status(&run.upstream, status, response.headers());
@@ -176,7 +178,14 @@
             StopReply::Transferred(name) => {
                 Some(FirstRunEnd::Moved(KvCacheCopy { named_by: upstream, name }))
             }
-            StopReply::Stopped => Some(FirstRunEnd::Ended(RunEndReason::Stopped)),
+            StopReply::Stopped(name) => {
+                Some(FirstRunEnd::Kept(KvCacheCopy { named_by: upstream, name }))
+            }
+            // An engine does not list a run that it has preempted and will continue.
+            StopReply::NoSuchRun if run.stream_is_open.load(Ordering::Relaxed) => {
+                run.stop_requested.store(was_requested, Ordering::Relaxed);
+                None
+            }
             StopReply::NoSuchRun => Some(FirstRunEnd::Ended(RunEndReason::NoSuchRun)),
             StopReply::Unknown => None,
         }
@@ -186,7 +195,7 @@
 fn log_run_end(run: &RunTakeover, first_run_end: &FirstRunEnd, took_ms: u64) {
     let end = match first_run_end {
         FirstRunEnd::Ended(end) => *end,
-        FirstRunEnd::Moved(_) => RunEndReason::Stopped,
+        FirstRunEnd::Moved(_) | FirstRunEnd::Kept(_) => RunEndReason::Stopped,
     };
     log::info!(
         target: "stream",
--- a/crates/bilberry-gateway/src/successor.rs
+++ b/crates/bilberry-gateway/src/successor.rs
@@ -208,40 +208,38 @@
     }
 
     /// Begins a successor and waits until it has begun to answer; `None` if that fails.
-    fn begin_successor(
+    async fn begin_successor(
         self: Arc<Self>,
         context: RequestContext,
         retry: RetryKind,
         suspicion: Suspicion,
         unused: UnusedSuccessors,
-    ) -> impl Future<Output = Option<Box<BegunRun>>> + Send {
-        async move {
-            let sends = context.sends;
-            let retry_at = self.clock.now();
-            if !self.try_spend_retry(&context.pool.name, retry) {
-                return None;
-            }
-            let gateway = self.clone();
-            let mut guard = SuccessorGuard { gateway, unused, context: Some(context) };
-            let context = guard.context.as_mut()?;
-            let forwarded = self.forward(context).await;
-            if context.sends == sends {
-                self.refund_retry(&context.pool.name, retry_at);
-            }
-            let mut response = forwarded.ok()?;
-            let is_usable = match retry {
-                RetryKind::Resume => response.http.status() == StatusCode::OK,
-                RetryKind::Resend => !response.http.status().is_server_error(),
-            };
-            if !is_usable {
-                return None;
-            }
-            if context.route.kind.is_stream() && response.http.status().is_success() {
-                self.await_first_event(context, &mut response).await?;
-            }
-            let context = guard.context.take()?;
-            Some(Box::new(BegunRun { context, response, suspicion }))
+    ) -> Option<Box<BegunRun>> {
+        let sends = context.sends;
+        let retry_at = self.clock.now();
+        if !self.try_spend_retry(&context.pool.name, retry) {
+            return None;
+        }
+        let gateway = self.clone();
+        let mut guard = SuccessorGuard { gateway, unused, context: Some(context) };
+        let context = guard.context.as_mut()?;
+        let forwarded = self.forward(context).await;
+        if context.sends == sends {
+            self.refund_retry(&context.pool.name, retry_at);
+        }
+        let mut response = forwarded.ok()?;
+        let is_usable = match retry {
+            RetryKind::Resume => response.http.status() == StatusCode::OK,
+            RetryKind::Resend => !response.http.status().is_server_error(),
+        };
+        if !is_usable {
+            return None;
+        }
+        if context.route.kind.is_stream() && response.http.status().is_success() {
+            self.await_first_event(context, &mut response).await?;
         }
+        let context = guard.context.take()?;
+        Some(Box::new(BegunRun { context, response, suspicion }))
     }
 
     /// Waits for the first event of a response, or of a successor that replaces it.
