--- a/crates/bilberry-gateway/src/successor.rs
+++ b/crates/bilberry-gateway/src/successor.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 
 use bilberry_core::Clock;
 use bilberry_core::EventSplitter;
@@ -248,36 +249,30 @@
         context: &mut RequestContext,
         response: &mut UpstreamResponse,
     ) -> Option<()> {
-        let max_silence = self.max_stream_silence(context);
-        loop {
-            let upstream = response.reservation.upstream.clone();
-            let was_slow = Default::default();
-            let run = AwaitedRun {
-                upstream: &upstream,
-                max_silence,
-                is_observed: self.observes_runs(&context.pool.name),
-                was_slow: &was_slow,
-                retry: RetryKind::Resume,
-                last_event: None,
-            };
-            let first = read_first_event(response);
-            match self.await_run(context, run, first, Option::is_none).await {
-                RunOutcome::Made(Some(received)) => {
-                    response.received = received;
-                    return Some(());
-                }
-                RunOutcome::Made(None) => {
-                    self.record_interrupted_run(context, &upstream);
-                    return None;
-                }
-                RunOutcome::Replaced(begun) => {
-                    let BegunRun { context: next, response: begun, suspicion } = *begun;
-                    context.adopt(next, suspicion);
-                    *response = begun;
-                    return Some(());
-                }
+        let upstream = response.reservation.upstream.clone();
+        let was_slow = AtomicBool::new(false);
+        let run = AwaitedRun {
+            upstream: &upstream,
+            max_silence: self.max_stream_silence(context),
+            is_observed: self.observes_runs(&context.pool.name),
+            was_slow: &was_slow,
+            retry: RetryKind::Resume,
+            last_event: None,
+        };
+        let first = read_first_event(response);
+        match self.await_run(context, run, first, Option::is_none).await {
+            RunOutcome::Made(Some(received)) => response.received = received,
+            RunOutcome::Made(None) => {
+                self.record_interrupted_run(context, &upstream);
+                return None;
+            }
+            RunOutcome::Replaced(begun) => {
+                let BegunRun { context: next, response: begun, suspicion } = *begun;
+                context.adopt(next, suspicion);
+                *response = begun;
             }
         }
+        Some(())
     }
 
     fn record_recovered_run(&self, context: &RequestContext, suspicion: Suspicion) {
