--- a/crates/bilberry-core/tests/part_blame.rs
+++ b/crates/bilberry-core/tests/part_blame.rs
@@ -189,6 +189,17 @@
         let outcome = Model::new(load, seed).run();
         prop_assert_eq!(outcome.sound_rejected, 0, "{:?}", outcome);
     }
+
+    #[test]
+    fn frequent_crashes_for_other_reasons_reject_nothing(
+        seed in any::<u64>(),
+        together in 1..18usize,
+        every_ms in 400..4_000u64,
+    ) {
+        let load = Load { crashing_every_ms: 0, other_crashes: (every_ms, together), ..USUAL };
+        let outcome = Model::new(load, seed).run();
+        prop_assert_eq!(outcome.sound_rejected, 0, "{:?}", outcome);
+    }
 }
 
 #[test]
