Return the retry and the permit of a successor that is cancelled before it was sent

Read from the code: a successor that its run overtook while it waited for a place kept its retry spent. They are returned where the successor ends now, however it ends. left_runs.rs, slow_or_lost.rs and streams_once.rs pass.

--- a/crates/bilberry-gateway/src/run_query.rs
+++ b/crates/bilberry-gateway/src/run_query.rs
@@ -161,10 +161,15 @@
             _ = wait_until_down(run) => Suspicion::Down,
         };
         sleep_until(not_before).await;
-        while !self.can_send_elsewhere(context, run.retry) {
+        self.wait_for_alternative(context, run.retry).await;
+        suspicion
+    }
+
+    /// Waits until another upstream could take the request.
+    async fn wait_for_alternative(&self, context: &RequestContext, retry: RetryKind) {
+        while !self.can_send_elsewhere(context, retry) {
             sleep(ALTERNATIVE_POLL_INTERVAL).await;
         }
-        suspicion
     }
 
     /// Waits until a run counts as lost because it is silent.
@@ -183,9 +188,7 @@
         let overdue_at = silent_since + max_silence;
         if !is_observed {
             sleep_until(overdue_at.max(not_before)).await;
-            while !self.can_send_elsewhere(context, retry) {
-                sleep(ALTERNATIVE_POLL_INTERVAL).await;
-            }
+            self.wait_for_alternative(context, retry).await;
             return Suspicion::Silent;
         }
         let mut stalls = upstream.subscribe_to_stalls();
--- a/crates/bilberry-gateway/src/successor.rs
+++ b/crates/bilberry-gateway/src/successor.rs
@@ -11,6 +11,7 @@
 use bilberry_core::HandoverStep;
 use bilberry_core::RetryKind;
 use bilberry_core::RunOverlap;
+use bilberry_core::UnixMs;
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::FutureExt;
@@ -60,11 +61,18 @@
     gateway: Arc<Gateway<D, C>>,
     unused: UnusedSuccessors,
     context: Option<RequestContext>,
+    /// The number of sends before it, and when its retry was spent.
+    began: (u32, UnixMs),
 }
 
 impl<D: Dialect, C: Clock> Drop for SuccessorGuard<D, C> {
     fn drop(&mut self) {
-        let Some(context) = self.context.take() else { return };
+        let Some(mut context) = self.context.take() else { return };
+        let (sends, retry_at) = self.began;
+        if context.sends == sends {
+            self.gateway.refund_retry(&context.pool.name, retry_at);
+            self.gateway.return_permit(&mut context);
+        }
         self.gateway.record_abandoned_run(&context);
         self.unused.contexts.lock().unwrap().push(context);
     }
@@ -216,19 +224,14 @@
         suspicion: Suspicion,
         unused: UnusedSuccessors,
     ) -> Option<Box<BegunRun>> {
-        let sends = context.sends;
-        let retry_at = self.clock.now();
+        let began = (context.sends, self.clock.now());
         if !self.try_spend_retry(&context.pool.name, retry) {
             return None;
         }
         let gateway = self.clone();
-        let mut guard = SuccessorGuard { gateway, unused, context: Some(context) };
+        let mut guard = SuccessorGuard { gateway, unused, context: Some(context), began };
         let context = guard.context.as_mut()?;
-        let forwarded = self.forward(context).await;
-        if context.sends == sends {
-            self.refund_retry(&context.pool.name, retry_at);
-        }
-        let mut response = forwarded.ok()?;
+        let mut response = self.forward(context).await.ok()?;
         let is_usable = match retry {
             RetryKind::Resume => response.http.status() == StatusCode::OK,
             RetryKind::Resend => !response.http.status().is_server_error(),
