--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -166,9 +166,8 @@
             context.runs += 1;
             context.detail = reason.to_string();
             context.left_runs += u32::from(is_silent);
-            // Close the connection before another upstream resumes the stream: this ends
-            // a repeatable run. It does not prove that the run ended, as a suspended
-            // upstream does not notice the close.
+            // The run has ended, or was stopped. A closed connection alone does not prove
+            // that, as a suspended upstream does not notice the close.
             drop(response);
             splitter.drop_partial();
             let resumed = tokio::select! {
