--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -274,12 +274,15 @@
     pub(crate) fn try_spend_retry(&self, pool: &Name, repeat: RetryKind) -> bool {
         let now = self.clock.now();
         let entries = self.entries.lock().unwrap().current();
-        self.with_budget(pool, |budget| budget.spend(now, entries, repeat))
+        let is_taken = self.with_budget(pool, |budget| budget.spend(now, entries, repeat));
+        self.metrics.count_retry(if is_taken { "taken" } else { "denied" });
+        is_taken
     }
 
     /// Returns a retry that was taken at `spent_at` and not used.
     pub(crate) fn refund_retry(&self, pool: &Name, spent_at: UnixMs) {
         self.with_budget(pool, |budget| budget.refund(spent_at));
+        self.metrics.count_retry("returned");
     }
 
     /// Reports whether the service's retry budget has a retry left.
--- a/crates/bilberry-gateway/src/metrics.rs
+++ b/crates/bilberry-gateway/src/metrics.rs
@@ -54,6 +54,8 @@
     pub run_queries: Family<OutcomeLabel, Counter>,
     /// Runs given up while their upstreams were connected, by what became of the answer.
     pub left_runs: Family<OutcomeLabel, Counter>,
+    /// Retries of the budget that all entries share, by what became of them.
+    pub retries: Family<OutcomeLabel, Counter>,
     /// Runs that were in progress at an upstream when it crashed.
     pub crashed_runs: Counter,
     /// Those of them that had not sent their first event.
@@ -113,6 +115,7 @@
             admission_wait_seconds: histogram(),
             run_queries: Family::default(),
             left_runs: Family::default(),
+            retries: Family::default(),
             crashed_runs: Counter::default(),
             closed_connections: Counter::default(),
             trials: Counter::default(),
@@ -147,6 +150,8 @@
         registry.register("run_queries", help, self.run_queries.clone());
         let help = "Runs given up while connected by what became of the answer";
         registry.register("left_runs", help, self.left_runs.clone());
+        let help = "Retries of the shared budget by what became of them";
+        registry.register("retries", help, self.retries.clone());
         let help = "Runs in progress at an upstream when it crashed";
         registry.register("crashed_runs", help, self.crashed_runs.clone());
         let help = "New connections closed unread in an overload";
@@ -224,6 +229,11 @@
         self.left_runs.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts what became of a retry.
+    pub(crate) fn count_retry(&self, outcome: &'static str) {
+        self.retries.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts units by the decision on their charge.
     pub fn count_quota(&self, outcome: &'static str, units: f64) {
         self.quota_units.get_or_create(&OutcomeLabel { outcome }).inc_by(units as u64);
--- a/crates/bilberry-gateway/src/request_log.rs
+++ b/crates/bilberry-gateway/src/request_log.rs
@@ -78,9 +78,17 @@
         predicted_first_ms = context.predicted.map_or(0, |times| times.first_ms),
         predicted_gap_ms = context.predicted.map_or(0, |times| times.gap_ms),
         target_ms = context.route.target_ms,
-        first_byte_ms = context.first_byte_ms.unwrap_or_default(),
+        first_byte_ms = context.first_byte_ms.map_or(-1, |ms| ms as i64),
+        host_silent_ms = host_silent_ms(context, now),
         total_ms = now.ms_since(context.arrived_at),
         left_ms = context.deadline.ms_since(now);
         "{outcome}"
     );
 }
+
+/// Returns how long nothing has come from the host of the last send; -1 if it has no sidecar
+/// that reported.
+fn host_silent_ms(context: &RequestContext, now: UnixMs) -> i64 {
+    let heard_at = context.sent_to.as_ref().and_then(|upstream| upstream.heard_at());
+    heard_at.map_or(-1, |heard_at| now.ms_since(heard_at) as i64)
+}
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -591,6 +591,12 @@
         queue.as_ref().is_some_and(|queue| queue.try_send(message).is_ok())
     }
 
+    /// Returns when its sidecar last reported; `None` if it never has.
+    pub fn heard_at(&self) -> Option<UnixMs> {
+        let reported_at = self.live.lock().unwrap().reported_at;
+        (reported_at > UnixMs(0)).then_some(reported_at)
+    }
+
     /// Returns whether its sidecar reports it as up or down, or does not report.
     pub fn sidecar_status(&self, now: UnixMs) -> SidecarStatus {
         match self.live.lock().unwrap().fresh_feed(now) {
