--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -274,7 +274,8 @@
     pub(crate) fn try_spend_retry(&self, pool: &Name, repeat: RetryKind) -> bool {
         let now = self.clock.now();
         let entries = self.entries.lock().unwrap().current();
-        let is_taken = self.with_budget(pool, |budget| budget.spend(now, entries, repeat));
+        let is_taken =
+            self.with_budget(pool, |budget| budget.spend(now, entries, repeat));
         self.metrics.count_retry(if is_taken { "taken" } else { "denied" });
         is_taken
     }
