Discard the expected prefill of a request that its engine rejected

Callers' prompts are fetched from an engine that never read them: a request that an engine rejects left its parts recorded as held there from their predicted end on. A second send that comes some milliseconds later then asks the next engine to fetch them.

--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -142,6 +142,7 @@
                 }
                 SendOutcome::NotRun(reason) => {
                     context.sent_to = None;
+                    self.cancel_prefill(context, &upstream);
                     self.metrics.count_send(reason);
                     context.detail = reason.to_string();
                     self.check_resend(context)?;
--- a/crates/bilberry-gateway/src/readings.rs
+++ b/crates/bilberry-gateway/src/readings.rs
@@ -109,6 +109,17 @@
         send_notice(reservation, notice);
     }
 
+    /// Records that an upstream did not prefill the parts of a request, as it rejected it.
+    pub(crate) fn cancel_prefill(
+        &self,
+        context: &mut RequestContext,
+        upstream: &Upstream,
+    ) {
+        let Some(prefill) = context.prefill.take() else { return };
+        upstream.forget_parts_since(&prefill.parts, prefill.since);
+        self.record_prefills_done(&prefill.parts);
+    }
+
     /// Records the parts that an upstream prefills.
     ///
     /// A part counts as held there from its predicted completion on. The start of the
--- a/crates/bilberry-gateway/src/upstream.rs
+++ b/crates/bilberry-gateway/src/upstream.rs
@@ -359,6 +359,16 @@
         prune_expired(&mut parts, now);
     }
 
+    /// Discards those of the parts that it was expected to hold from `since` on or later.
+    pub fn forget_parts_since(&self, keys: &[u64], since: UnixMs) {
+        let mut parts = self.parts.lock().unwrap();
+        for key in keys {
+            if parts.get(key).is_some_and(|&expected| expected >= since) {
+                parts.remove(key);
+            }
+        }
+    }
+
     /// Reports whether it holds a part that other engines may fetch.
     ///
     /// A fetch from a dead engine delays its request by a few hundred milliseconds, so
