Keep the fixed part of the retry budget in one bucket that outlives entries, and count a retry until it has arrived

Cause: the fixed part was divided by the number of entries, and the memory of what was spent was each process's own. A start, and a smaller number of entries, made a new part in the same window. A retry also counted when it was taken, so that those which waited for a place, a permit or a successor arrived with those of a later window. Class: a limit over all processes whose use is remembered by the one that used it.

Now each entry spends a fifth of its own requests, whose retries and requests end with it; the fixed part is a token bucket kept by two sidecars as quotas are, with a part of its own for entries without them. A retry counts until a window after it arrived or can't any more (RetryPermit), and is returned if it was not sent. An entry pays with its own fraction first. The even split is gone, so one entry with all callers has the whole fixed part.

--- a/crates/bilberry-core/src/lib.rs
+++ b/crates/bilberry-core/src/lib.rs
@@ -191,6 +191,7 @@
 pub use run_progress::judge_silence;
 pub use shared_retry_budget::BudgetLimits;
 pub use shared_retry_budget::RetryKind;
+pub use shared_retry_budget::RetrySource;
 pub use shared_retry_budget::SharedRetryBudget;
 pub use shared_watch::PendingWatch;
 pub use shared_watch::WatchReply;
--- a/crates/bilberry-core/src/quota.rs
+++ b/crates/bilberry-core/src/quota.rs
@@ -79,6 +79,13 @@
     pub key: RequestKey,
     /// The longest `Retry-After` that the caller can follow.
     pub max_wait_ms: u64,
+    /// What the bucket holds when its owner first hears of it, in units.
+    ///
+    /// A bucket that was lost with all of its owners may exceed its rate by this.
+    pub initial: f64,
+    /// Whether all charges of the bucket cost about the same, so that nothing is reserved
+    /// for small ones.
+    pub is_uniform: bool,
 }
 
 /// The decision on a charge.
--- a/crates/bilberry-core/src/quota/isolated.rs
+++ b/crates/bilberry-core/src/quota/isolated.rs
@@ -5,11 +5,15 @@
 use crate::ABSENCE_LIMIT_MS;
 use crate::Name;
 use crate::Quota;
+use crate::QuotaCharge;
 use crate::UnixMs;
 
 /// The time after the last contact until owners reserve the entry's part of the rate.
 const DETECTION_MS: u64 = 2_000;
 
+/// The most that a part holds at first.
+const ISOLATED_INITIAL: f64 = 2.0;
+
 /// An even part of each customer's rate, which an entry may use while it reaches no
 /// owner.
 ///
@@ -35,6 +39,11 @@
         Self { started_at: now, contact_at: None, buckets: HashMap::new() }
     }
 
+    /// Returns when the entry started.
+    pub fn started_at(&self) -> UnixMs {
+        self.started_at
+    }
+
     /// Records a message from a sidecar that keeps quotas.
     pub fn record_contact(&mut self, now: UnixMs) {
         self.contact_at = self.contact_at.max(Some(now));
@@ -46,12 +55,13 @@
     ///
     /// `entries` is the number of entries that share the rate. A request that is larger
     /// than what the part holds is admitted with a probability that keeps the average use
-    /// within the rate; `draw` is a random number from 0 to 1.
+    /// within the rate; `draw` is a random number from 0 to 1. The part of an entry that
+    /// never had contact holds up to two of the initial units of the bucket at first.
     pub fn charge(
         &mut self,
         customer: &Name,
         quota: Quota,
-        cost: f64,
+        charge: QuotaCharge,
         entries: usize,
         draw: f64,
         now: UnixMs,
@@ -62,8 +72,13 @@
             return false;
         }
         let part = 1.0 / entries.max(1) as f64;
-        let (rate, burst) = (quota.rate_per_s * part, quota.burst * part);
-        let fresh = || Bucket { level: 0.0, refilled_at: starts_at };
+        let QuotaCharge { cost, initial, .. } = charge;
+        let initial = match self.contact_at {
+            None => initial.min(ISOLATED_INITIAL),
+            Some(_) => 0.0,
+        };
+        let (rate, burst) = (quota.rate_per_s * part, (quota.burst * part).max(initial));
+        let fresh = || Bucket { level: initial, refilled_at: starts_at };
         let bucket = self.buckets.entry(customer.clone()).or_insert_with(fresh);
         let refill = now.ms_since(bucket.refilled_at) as f64 / 1_000.0 * rate;
         bucket.level = (bucket.level + refill).min(burst);
--- a/crates/bilberry-core/src/quota/ledger.rs
+++ b/crates/bilberry-core/src/quota/ledger.rs
@@ -102,7 +102,7 @@
         }
         self.remove_full(now);
         let known_since = self.known_since;
-        let fresh = || Bucket::new(quota, known_since, share, now);
+        let fresh = || Bucket::new(quota, charge.initial, known_since, share, now);
         let bucket = self.buckets.entry(customer.clone()).or_insert_with(fresh);
         bucket.update(quota, share, now);
         if is_takeover {
@@ -139,12 +139,20 @@
 
 impl Bucket {
     /// Creates the bucket of a customer without charges since `known_since`.
-    fn new(quota: Quota, known_since: UnixMs, share: f64, now: UnixMs) -> Self {
+    ///
+    /// It held `initial` units then.
+    fn new(
+        quota: Quota,
+        initial: f64,
+        known_since: UnixMs,
+        share: f64,
+        now: UnixMs,
+    ) -> Self {
         let mut bucket = Self {
             quota,
             known_since,
             taken_over_at: UnixMs::default(),
-            level: 0.0,
+            level: initial.min(quota.burst),
             refilled_at: known_since,
             share,
             turns: Turns::new(),
@@ -191,7 +199,7 @@
     fn charge(&mut self, charge: QuotaCharge, now: UnixMs) -> QuotaDecision {
         let burst = self.quota.burst;
         let is_small = charge.cost <= burst * SMALL_COST;
-        let floor = burst * SMALL_RESERVE;
+        let floor = if charge.is_uniform { 0.0 } else { burst * SMALL_RESERVE };
         // A request that is larger than the burst is admitted when the bucket is full and
         // leaves a debt, as it could never be admitted otherwise.
         let needed = charge.cost.min(burst - floor);
--- a/crates/bilberry-core/src/shared_retry_budget.rs
+++ b/crates/bilberry-core/src/shared_retry_budget.rs
@@ -1,4 +1,14 @@
-//! A retry budget that all entries share without communication.
+//! A retry budget that all entries share.
+//!
+//! The budget of a service has a part for each request and a fixed part. Each entry spends
+//! the former for its own requests, so the parts of all entries add up without any message,
+//! and an entry that starts has neither requests nor retries in the window. The fixed part
+//! is one token bucket that sidecars keep (see [`crate::QuotaLedger`]): it outlives
+//! entries, begins nearly empty where its owners are lost, and goes where it is needed.
+//!
+//! A retry counts from the time it is taken until a window after it has arrived. In
+//! between it may wait for a place or a permit, or stand still with its entry, and then
+//! arrive together with retries that were taken later.
 //!
 //! When engines crash one after another under full load, requests that have not started
 //! are retried on one full engine after another. At the next crash no retry is left for
@@ -9,21 +19,37 @@
 
 use std::collections::VecDeque;
 
+use crate::Quota;
 use crate::UnixMs;
-use crate::entry_share::entry_share;
 
 /// The length of the buckets in which a window is counted.
 const BUCKET_MS: u64 = 500;
 
-/// The fraction of the budget that can be spent.
+/// The fraction of the part for requests that can be spent.
 ///
 /// The rest is a margin for requests that are counted here slightly earlier than where
-/// they arrive, and for an entry that is partitioned but still counted.
+/// they arrive.
 const USABLE_FRACTION: f64 = 0.9;
 
-/// The fraction of the budget available to requests whose callers have received nothing.
+/// The fraction of that part available to requests whose callers have received nothing.
 const RESEND_FRACTION: f64 = 0.6;
 
+/// The fraction of the fixed part that the shared bucket holds.
+///
+/// What the bucket holds and what it is refilled with in a window stay below the fixed part.
+/// The margin covers retries that arrive later than they were charged, owners that decide
+/// apart while entries disagree about them, and what a bucket holds at first.
+const SHARED_BURST_FRACTION: f64 = 0.25;
+
+/// The fraction of the fixed part with which the shared bucket is refilled in a window.
+const SHARED_REFILL_FRACTION: f64 = 0.4;
+
+/// The fraction of the fixed part that the bucket holds when it is created.
+///
+/// Where all sidecars were lost, nobody knows what the bucket held. Without this, the first
+/// requests after such a loss would have no retry.
+const SHARED_INITIAL_FRACTION: f64 = 0.1;
+
 /// The purpose of a retry.
 #[derive(Debug, Copy, Clone, PartialEq, Eq)]
 pub enum RetryKind {
@@ -53,28 +79,68 @@
     pub window_ms: u64,
 }
 
-/// An entry's share of the retry budget of one service.
-///
-/// The part proportional to requests needs no division: each entry counts its own
-/// requests, and the shares add up to the ratio of all requests. The fixed part is
-/// divided by the number of entries.
+impl BudgetLimits {
+    /// Returns the bucket that holds the fixed part; `None` if there is none.
+    pub fn shared_quota(&self) -> Option<Quota> {
+        let window_s = self.window_ms as f64 / 1_000.0;
+        let quota = Quota {
+            rate_per_s: self.slack * SHARED_REFILL_FRACTION / window_s,
+            burst: self.slack * SHARED_BURST_FRACTION,
+            version: 0,
+        };
+        (quota.rate_per_s > 0.0 && quota.rate_per_s.is_finite()).then_some(quota)
+    }
+
+    /// Returns what that bucket holds when an owner first hears of it.
+    pub fn shared_initial(&self) -> f64 {
+        self.slack * SHARED_INITIAL_FRACTION
+    }
+}
+
+/// Where a retry comes from.
+#[derive(Debug, Copy, Clone, PartialEq)]
+pub enum RetrySource {
+    /// The entry's own part, which it is taken from already.
+    Own,
+    /// The entry's own part holds `own` of it, which is taken; the rest is to be charged to
+    /// the shared bucket.
+    Shared {
+        /// The fraction taken from the own part.
+        own: f64,
+    },
+    /// Neither has a retry left.
+    Denied,
+}
+
+/// An entry's part of the retry budget of one service.
 #[derive(Debug)]
 pub struct SharedRetryBudget {
-    terms: BudgetLimits,
+    limits: BudgetLimits,
     buckets: VecDeque<Bucket>,
+    /// What was taken for retries that may still arrive.
+    pending: f64,
+    /// What was taken for retries that have arrived since the last call with a time.
+    arrived: f64,
+    shared_denied_until: UnixMs,
 }
 
 #[derive(Debug)]
 struct Bucket {
     start: UnixMs,
     requests: u64,
-    retries: u64,
+    retries: f64,
 }
 
 impl SharedRetryBudget {
-    /// Creates an unspent budget.
-    pub fn new(terms: BudgetLimits) -> Self {
-        Self { terms, buckets: VecDeque::new() }
+    /// Creates the budget of an entry that has had no requests.
+    pub fn new(limits: BudgetLimits) -> Self {
+        Self {
+            limits,
+            buckets: VecDeque::new(),
+            pending: 0.0,
+            arrived: 0.0,
+            shared_denied_until: UnixMs(0),
+        }
     }
 
     /// Counts a client request.
@@ -82,49 +148,57 @@
         self.bucket(now).requests += 1;
     }
 
-    /// Spends one retry; returns false if the budget is exhausted.
-    pub fn spend(
-        &mut self,
-        now: UnixMs,
-        entries: Option<usize>,
-        repeat: RetryKind,
-    ) -> bool {
-        let has_left = self.has_left(now, entries, repeat);
-        if has_left {
-            self.bucket(now).retries += 1;
-        }
-        has_left
+    /// Takes a retry, or what the own part has of it.
+    pub fn take(&mut self, now: UnixMs, kind: RetryKind) -> RetrySource {
+        let left = self.own_left(now, kind);
+        let source = match () {
+            _ if left >= 1.0 => RetrySource::Own,
+            _ if !self.may_ask(now) => RetrySource::Denied,
+            _ => RetrySource::Shared { own: left.max(0.0) },
+        };
+        self.pending += source.own();
+        source
     }
 
-    /// Returns a retry that was spent at `spent_at` and not used.
-    pub fn refund(&mut self, spent_at: UnixMs) {
-        let start = UnixMs(spent_at.0 / BUCKET_MS * BUCKET_MS);
-        if let Some(bucket) = self.buckets.iter_mut().find(|it| it.start == start) {
-            bucket.retries = bucket.retries.saturating_sub(1);
-        }
+    /// Reports whether there may be one more retry.
+    pub fn has_left(&mut self, now: UnixMs, kind: RetryKind) -> bool {
+        self.own_left(now, kind) >= 1.0 || self.may_ask(now)
+    }
+
+    /// Records that a retry has arrived, or may have, and will not arrive later.
+    pub fn record_arrival(&mut self, own: f64) {
+        self.pending = (self.pending - own).max(0.0);
+        self.arrived += own;
+    }
+
+    /// Returns what was taken for a retry that never arrives.
+    pub fn cancel(&mut self, own: f64) {
+        self.pending = (self.pending - own).max(0.0);
+    }
+
+    /// Records that the shared bucket has no retry until `until`.
+    pub fn record_shared_denied(&mut self, until: UnixMs) {
+        self.shared_denied_until = self.shared_denied_until.max(until);
+    }
+
+    fn may_ask(&self, now: UnixMs) -> bool {
+        self.limits.shared_quota().is_some()
+            && self.shared_denied_until.has_passed_at(now)
     }
 
-    /// Reports whether one more retry is within the budget.
-    pub fn has_left(
-        &mut self,
-        now: UnixMs,
-        entries: Option<usize>,
-        repeat: RetryKind,
-    ) -> bool {
+    fn own_left(&mut self, now: UnixMs, kind: RetryKind) -> f64 {
         self.bucket(now);
         // For a bucket that is partly outside the window, only retries count, not
         // requests, so that no window exceeds the budget.
         let window_start = self.window_start(now);
         let complete = self.buckets.iter().filter(|bucket| bucket.start > window_start);
         let requests: u64 = complete.map(|bucket| bucket.requests).sum();
-        let retries: u64 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let slack = entry_share(self.terms.slack, entries);
-        let allowed = requests as f64 * self.terms.ratio + slack;
-        retries as f64 + 1.0 <= allowed * repeat.fraction()
+        let arrived: f64 = self.buckets.iter().map(|bucket| bucket.retries).sum();
+        requests as f64 * self.limits.ratio * kind.fraction() - arrived - self.pending
     }
 
     fn window_start(&self, now: UnixMs) -> UnixMs {
-        UnixMs(now.0.saturating_sub(self.terms.window_ms))
+        UnixMs(now.0.saturating_sub(self.limits.window_ms))
     }
 
     fn bucket(&mut self, now: UnixMs) -> &mut Bucket {
@@ -132,8 +206,23 @@
         let window_start = self.window_start(now);
         self.buckets.retain(|bucket| bucket.start.plus_ms(BUCKET_MS) > window_start);
         if self.buckets.back().is_none_or(|bucket| bucket.start < start) {
-            self.buckets.push_back(Bucket { start, requests: 0, retries: 0 });
+            self.buckets.push_back(Bucket { start, requests: 0, retries: 0.0 });
+        }
+        let arrived = std::mem::take(&mut self.arrived);
+        let bucket =
+            self.buckets.back_mut().expect("a bucket exists for the current time");
+        bucket.retries += arrived;
+        bucket
+    }
+}
+
+impl RetrySource {
+    /// Returns what is taken from the own part.
+    pub fn own(self) -> f64 {
+        match self {
+            Self::Own => 1.0,
+            Self::Shared { own } => own,
+            Self::Denied => 0.0,
         }
-        self.buckets.back_mut().expect("a bucket exists for the current time")
     }
 }
--- a/crates/bilberry-core/tests/forwarding.rs
+++ b/crates/bilberry-core/tests/forwarding.rs
@@ -2,7 +2,6 @@
 
 use bilberry_core::AnnouncedWeights;
 use bilberry_core::BootClock;
-use bilberry_core::BudgetLimits;
 use bilberry_core::Clock;
 use bilberry_core::EntryCount;
 use bilberry_core::EventSplitter;
@@ -12,10 +11,8 @@
 use bilberry_core::PeerCopy;
 use bilberry_core::PlacementCandidate;
 use bilberry_core::PlacementRequest;
-use bilberry_core::RetryKind;
 use bilberry_core::Rollout;
 use bilberry_core::RolloutPlace;
-use bilberry_core::SharedRetryBudget;
 use bilberry_core::Source;
 use bilberry_core::Transfer;
 use bilberry_core::UnixMs;
@@ -242,37 +239,7 @@
     assert_eq!(distinct.len(), keys.len());
 }
 
-const TERMS: BudgetLimits = BudgetLimits { ratio: 0.2, slack: 50.0, window_ms: 10_000 };
-
 proptest! {
-    /// However requests are distributed over entries, their combined retries stay within
-    /// the budget in every window, although each entry counts only its own requests.
-    #[test]
-    fn entries_together_never_exceed_the_budget(
-        entries in 1_usize..40,
-        arrivals in proptest::collection::vec((0_usize..40, 0_u64..40), 1..600),
-    ) {
-        let mut budgets: Vec<SharedRetryBudget> =
-            (0..entries).map(|_| SharedRetryBudget::new(TERMS)).collect();
-        let mut now = UnixMs(1_000_000);
-        let mut log = Vec::new();
-        for (entry, gap_ms) in arrivals {
-            now = now.plus_ms(gap_ms);
-            let budget = &mut budgets[entry % entries];
-            budget.count_request(now);
-            let mut repeats = 0;
-            while repeats < 3 && budget.spend(now, Some(entries), RetryKind::Resume) {
-                repeats += 1;
-            }
-            log.push((now, repeats));
-            let window: Vec<_> =
-                log.iter().filter(|(at, _)| now.ms_since(*at) < TERMS.window_ms).collect();
-            let spent: u64 = window.iter().map(|(_, repeats)| repeats).sum();
-            let allowed = window.len() as f64 * TERMS.ratio + TERMS.slack;
-            prop_assert!(spent as f64 <= allowed, "{spent} of {allowed}");
-        }
-    }
-
     /// The same complete events result wherever the connection splits the bytes.
     #[test]
     fn events_are_complete_however_the_bytes_are_split(
@@ -298,47 +265,11 @@
 }
 
 #[test]
-fn a_starting_entry_takes_a_small_share_until_the_count_is_known() {
-    // Many entries restart together under full load. Each would use the whole fixed part
-    // of the budget if it assumed that it is the only entry.
-    let spent = |entries, repeat| {
-        let mut budget = SharedRetryBudget::new(TERMS);
-        (0..100).filter(|_| budget.spend(UnixMs(5_000), entries, repeat)).count()
-    };
-    assert_eq!(spent(Some(1), RetryKind::Resume), 45);
-    assert_eq!(spent(Some(1), RetryKind::Resend), 30);
-    assert!(spent(None, RetryKind::Resume) <= 3);
-}
-
-#[test]
-fn streams_resume_after_a_third_crash_while_engines_are_full() {
-    // One entry gets ten requests per second. Engines crash at 4, 7.5 and 11 s, each with
-    // ten streams of this entry. After the first crash, every request needs a second
-    // attempt because engines are full. Callers affected by the later crashes lost their
-    // streams, because requests that had not started had used up the retries.
-    let terms = BudgetLimits { slack: 20.0, ..TERMS };
-    let mut budget = SharedRetryBudget::new(terms);
-    let mut resumed = 0;
-    for at_ms in (0..11_100).step_by(100) {
-        let now = UnixMs(1_000_000 + at_ms);
-        budget.count_request(now);
-        if matches!(at_ms, 4_000 | 7_500 | 11_000) {
-            let spend = |_: &i32| budget.spend(now, Some(1), RetryKind::Resume);
-            resumed += (0..10).filter(spend).count();
-        }
-        if at_ms >= 4_000 {
-            budget.spend(now, Some(1), RetryKind::Resend);
-        }
-    }
-    assert!(resumed >= 18, "{resumed} of 30 streams resumed");
-}
-
-#[test]
-fn entries_stay_within_budget_while_all_sidecars_restart() {
-    // Four entries share a retry budget. All sidecars stop and requests fail over, while
-    // the entry count is kept. Then all sidecars start, and each knows only one entry
-    // when it first reports. If entries adopted that count, each would spend the whole
-    // budget. Entries that really leave stop counting after some seconds.
+fn the_entry_count_is_kept_while_all_sidecars_restart() {
+    // Four entries share limits. All sidecars stop, while the entry count is kept. Then all
+    // sidecars start, and each knows only one entry when it first reports. If entries
+    // adopted that count, each would take the whole of what they share. Entries that really
+    // leave stop counting after some seconds.
     let mut entries = EntryCount::default();
     let report = |entries: &mut EntryCount, at_ms: u64, count| {
         entries.record_report(UnixMs(1_000_000 + at_ms), count);
--- a/crates/bilberry-core/tests/handover.rs
+++ b/crates/bilberry-core/tests/handover.rs
@@ -235,20 +235,3 @@
     assert_eq!(handover.record(HandoverEvent::Progressed), HandoverStep::Wait);
     assert_eq!(handover.record(HandoverEvent::Ended), HandoverStep::Send);
 }
-
-#[test]
-fn a_refunded_retry_can_be_spent_again() {
-    use bilberry_core::BudgetLimits;
-    use bilberry_core::RetryKind;
-    use bilberry_core::SharedRetryBudget;
-    use bilberry_core::UnixMs;
-
-    let limits = BudgetLimits { ratio: 0.2, slack: 2.0, window_ms: 10_000 };
-    let mut budget = SharedRetryBudget::new(limits);
-    let now = UnixMs(1_000_000);
-    assert!(budget.spend(now, Some(1), RetryKind::Resume));
-    assert!(!budget.spend(now, Some(1), RetryKind::Resume));
-    budget.refund(now);
-    assert!(budget.spend(now.plus_ms(700), Some(1), RetryKind::Resume));
-    assert!(!budget.spend(now.plus_ms(700), Some(1), RetryKind::Resume));
-}
--- a/crates/bilberry-core/tests/quota_model/mod.rs
+++ b/crates/bilberry-core/tests/quota_model/mod.rs
@@ -22,7 +22,7 @@
 pub use crate::quota_model::ways::Reports;
 
 /// The start of each replay; fresh processes then count as complete.
-const START_MS: u64 = 100_000;
+pub const START_MS: u64 = 100_000;
 
 /// The longest `Retry-After` that callers follow.
 const MAX_WAIT_MS: u64 = 1_600;
@@ -178,6 +178,8 @@
             cost: arrival.cost,
             key: RequestKey(arrival.number),
             max_wait_ms: MAX_WAIT_MS,
+            initial: 0.0,
+            is_uniform: false,
         };
         let decision = way.charge(entry, quota, charge, now);
         if !arrival.is_patient_return && arrival.early_returns_left == EARLY_RETURNS {
--- a/crates/bilberry-core/tests/quota_model/ways.rs
+++ b/crates/bilberry-core/tests/quota_model/ways.rs
@@ -458,7 +458,7 @@
             }
             let draw = self.rng.random();
             let is_admitted =
-                entry.isolated.charge(&customer, quota, charge.cost, entries, draw, now);
+                entry.isolated.charge(&customer, quota, charge, entries, draw, now);
             return is_admitted.then_some(QuotaDecision::Admitted);
         };
         if decision != QuotaDecision::Admitted {
--- a/crates/bilberry-gateway/src/backup.rs
+++ b/crates/bilberry-gateway/src/backup.rs
@@ -24,7 +24,9 @@
 use crate::Reservation;
 use crate::Upstream;
 use crate::forward::CopySendError;
+use crate::forward::NO_RETRY;
 use crate::forward::UpstreamResponse;
+use crate::retry_permit::RetryPermit;
 use crate::run_query::QUERY_INTERVAL;
 use crate::run_stop::FirstRunEnd;
 use crate::run_stop::RunTakeover;
@@ -181,8 +183,12 @@
             context.add_detail(obstacle);
             return Err(CopySendError::NotRun);
         }
-        let is_reserved = is_backup && context.takeover_reserved_at.take().is_some();
-        if !is_reserved && !self.acquire_takeover(context, engine).await {
+        let reserved = context.takeover_retry.take_if(|_| is_backup);
+        context.retry = match reserved {
+            Some(retry) => Some(retry),
+            None => self.acquire_takeover(context, engine).await,
+        };
+        if context.retry.is_none() {
             return Err(CopySendError::NotRun);
         }
         let reservation = self.reserve_memory(context, engine.clone());
@@ -204,16 +210,13 @@
         if self.takeover_obstacle(context, backup, &run.upstream).is_some() {
             return false;
         }
-        let now = self.clock.now();
-        let is_reserved = self.acquire_takeover(context, backup).await;
-        context.takeover_reserved_at = is_reserved.then_some(now);
-        is_reserved
+        context.takeover_retry = self.acquire_takeover(context, backup).await;
+        context.takeover_retry.is_some()
     }
 
     /// Returns the retry and the permit of a takeover that is not needed.
     pub(crate) fn release_takeover(&self, context: &mut RequestContext) {
-        if let Some(reserved_at) = context.takeover_reserved_at.take() {
-            self.refund_retry(&context.pool.name, reserved_at);
+        if context.takeover_retry.take().is_some() {
             self.return_permit(context);
         }
     }
@@ -222,17 +225,13 @@
         &self,
         context: &mut RequestContext,
         engine: &Arc<Upstream>,
-    ) -> bool {
-        let spent_at = self.clock.now();
-        if !self.try_spend_retry(&context.pool.name, RetryKind::Resume) {
-            context.add_detail("the retry budget is exhausted");
-            return false;
-        }
-        let is_permitted = self.acquire_permit(context, engine, false).await;
-        if !is_permitted {
-            self.refund_retry(&context.pool.name, spent_at);
+    ) -> Option<Arc<RetryPermit>> {
+        let retry = self.take_retry(&context.pool.name, RetryKind::Resume).await;
+        if retry.is_none() {
+            context.add_detail(NO_RETRY);
         }
-        is_permitted
+        let retry = retry?;
+        self.acquire_permit(context, engine, false).await.then_some(retry)
     }
 
     fn reserve_memory(
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -131,7 +131,7 @@
                     self.metrics.count_send("failed_there");
                     context.detail =
                         format!("status {}", response.http.status().as_u16());
-                    if !self.try_spend_retry(&context.pool.name, RetryKind::Resend) {
+                    if !self.take_resend(context).await {
                         return Ok(*response);
                     }
                     *failed = Some(*response);
@@ -145,7 +145,7 @@
                     self.cancel_prefill(context, &upstream);
                     self.metrics.count_send(reason);
                     context.detail = reason.to_string();
-                    self.check_resend(context)?;
+                    self.check_resend(context).await?;
                 }
                 SendOutcome::Replaced(response) => return Ok(*response),
                 SendOutcome::MayHaveRun(reason) => {
@@ -156,7 +156,7 @@
                     if let Some(response) = resumed.await {
                         return Ok(response);
                     }
-                    self.check_rerun(context)?;
+                    self.check_rerun(context).await?;
                 }
                 SendOutcome::Expired => {
                     self.metrics.count_send("expired");
@@ -180,29 +180,37 @@
         self.may_run_after(context, context.runs) && self.has_time(context)
     }
 
-    fn check_resend(&self, context: &RequestContext) -> Result<(), Refusal> {
+    async fn check_resend(&self, context: &mut RequestContext) -> Result<(), Refusal> {
         let attempts_used_up = context.sends >= context.route.max_attempts + EXTRA_SENDS;
         // A request that was never sent put no load on any upstream.
         let costs_nothing =
             [NOT_CONNECTED, OTHER_START, QUARANTINED].contains(&context.detail.as_str());
         match !attempts_used_up
             && self.has_time(context)
-            && (costs_nothing
-                || self.try_spend_retry(&context.pool.name, RetryKind::Resend))
+            && (costs_nothing || self.take_resend(context).await)
         {
             true => Ok(()),
             false => Err(Refusal::NoCapacity),
         }
     }
 
-    fn check_rerun(&self, context: &RequestContext) -> Result<(), Refusal> {
+    async fn check_rerun(&self, context: &mut RequestContext) -> Result<(), Refusal> {
         let allowed = self.may_run_after(context, context.runs) && self.has_time(context);
-        match allowed && self.try_spend_retry(&context.pool.name, RetryKind::Resend) {
+        match allowed && self.take_resend(context).await {
             true => Ok(()),
             false => Err(Refusal::OutcomeUnknown),
         }
     }
 
+    /// Takes a retry for the next send; returns whether the budget had one.
+    pub(crate) async fn take_resend(&self, context: &mut RequestContext) -> bool {
+        context.retry = self.take_retry(&context.pool.name, RetryKind::Resend).await;
+        if context.retry.is_none() {
+            context.add_detail(NO_RETRY);
+        }
+        context.retry.is_some()
+    }
+
     pub(crate) fn has_time(&self, context: &RequestContext) -> bool {
         !context.deadline.has_passed_at(self.clock.now())
     }
@@ -245,6 +253,7 @@
             self.metrics.trials.inc();
         }
         context.sends += 1;
+        context.set_retry_sent(true);
         let now = self.clock.now();
         context.sent_at = now;
         context.sent_to = Some(upstream.clone());
@@ -297,14 +306,17 @@
         match sent {
             Ok(response) => {
                 context.run_has_head = true;
+                context.retry = None;
                 self.classify_response(context, response, connection, reservation)
             }
             Err(SendError::NotSent(_)) => {
+                context.set_retry_sent(false);
                 upstream.record_failure(self.clock.now());
                 self.return_permit(context);
                 SendOutcome::NotRun(NOT_CONNECTED)
             }
             Err(SendError::NoResponse(_)) => {
+                context.retry = None;
                 upstream.record_failure(self.clock.now());
                 self.record_interrupted_run(context, &upstream);
                 self.connections.close_idle_to(upstream.address);
@@ -330,7 +342,7 @@
             let offer = other.offer(now, &self.settings.data_centre, context.pool.engine);
             offer.usable && offer.free_slots > 0
         };
-        self.may_spend_retry(&context.pool.name, retry) && untried.any(has_capacity)
+        self.may_take_retry(&context.pool.name, retry) && untried.any(has_capacity)
     }
 
     /// Sends the request to the engine that holds a backup of its KV cache.
@@ -351,6 +363,7 @@
             return Err(CopySendError::MayHaveRun);
         }
         context.sends += 1;
+        context.set_retry_sent(true);
         context.sent_at = self.clock.now();
         context.sent_to = Some(upstream.clone());
         context.run_has_head = false;
@@ -359,6 +372,10 @@
         context.earlier_crashes = self.earlier_crashes(context, &upstream);
         let left = context.deadline.remaining(context.sent_at);
         let sent = timeout(left, connection.send(request)).await;
+        if matches!(sent, Ok(Err(SendError::NotSent(_)))) {
+            context.set_retry_sent(false);
+        }
+        context.retry = None;
         let response = match sent.map_err(|_| CopySendError::MayHaveRun)? {
             Ok(response) => response,
             Err(SendError::NotSent(_)) => return Err(CopySendError::NotRun),
@@ -441,6 +458,9 @@
     }
 }
 
+/// The detail of a request that was not sent again for want of a retry.
+pub(crate) const NO_RETRY: &str = "the retry budget is exhausted";
+
 /// The name, in logs and metrics, of a send of which no byte was written.
 const NOT_CONNECTED: &str = "not_connected";
 
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -17,8 +17,6 @@
 use bilberry_core::OverloadGate;
 use bilberry_core::PrefillsInProgress;
 use bilberry_core::QuotaTolerance;
-use bilberry_core::RetryKind;
-use bilberry_core::SharedRetryBudget;
 use bilberry_core::SoftwareHistory;
 use bilberry_core::SoftwareId;
 use bilberry_core::UnixMs;
@@ -47,6 +45,7 @@
 use crate::metrics::ServerLabels;
 use crate::pool_summary::PoolSummaries;
 use crate::quota_client::QuotaClient;
+use crate::retry_permit::RetryBudgets;
 use crate::run_observation::SharedHosts;
 use crate::stream_origin::OriginClient;
 use crate::trials::Trials;
@@ -100,7 +99,7 @@
     pub(crate) crashes: KnownCrashes,
     pub(crate) trials: Trials,
     pub(crate) overload: Mutex<OverloadGate>,
-    pub(crate) quotas: QuotaClient,
+    pub(crate) quotas: Arc<QuotaClient>,
     pub(crate) origins: OriginClient,
     software_histories: Mutex<HashMap<Name, SoftwareHistory>>,
     pub(crate) waiting: WaitingRequests,
@@ -112,7 +111,7 @@
     policy: ArcSwapOption<Policy>,
     policy_freshness: Mutex<Freshness>,
     store_freshness: Mutex<Freshness>,
-    budgets: Mutex<HashMap<Name, SharedRetryBudget>>,
+    pub(crate) retries: Arc<RetryBudgets>,
     pub(crate) outages: Mutex<HashMap<Name, Outage>>,
     pub(crate) entries: Mutex<EntryCount>,
     stopping: AtomicBool,
@@ -124,7 +123,7 @@
         Self {
             dialect,
             connections: ConnectionPool::new(clock.clone()),
-            quotas: QuotaClient::new(clock.now()),
+            quotas: Arc::new(QuotaClient::new(clock.now())),
             origins: OriginClient::new(),
             software_histories: Mutex::default(),
             clock,
@@ -137,6 +136,7 @@
             crashes: KnownCrashes::new(&settings.host),
             trials: Trials::default(),
             overload: Mutex::default(),
+            retries: Arc::new(RetryBudgets::new(settings.budget)),
             settings,
             waiting: WaitingRequests::default(),
             speed: SpeedEstimates::default(),
@@ -147,7 +147,6 @@
             policy: ArcSwapOption::empty(),
             policy_freshness: Mutex::default(),
             store_freshness: Mutex::default(),
-            budgets: Mutex::default(),
             outages: Mutex::default(),
             entries: Mutex::default(),
             stopping: AtomicBool::new(false),
@@ -264,35 +263,6 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
-    /// Counts a request towards its service's retry budget.
-    pub(crate) fn count_request(&self, pool: &Name) {
-        let now = self.clock.now();
-        self.with_budget(pool, |budget| budget.count_request(now));
-    }
-
-    /// Takes one retry from the service's budget; returns false if none is left.
-    pub(crate) fn try_spend_retry(&self, pool: &Name, repeat: RetryKind) -> bool {
-        let now = self.clock.now();
-        let entries = self.entries.lock().unwrap().current();
-        let is_taken =
-            self.with_budget(pool, |budget| budget.spend(now, entries, repeat));
-        self.metrics.count_retry(if is_taken { "taken" } else { "denied" });
-        is_taken
-    }
-
-    /// Returns a retry that was taken at `spent_at` and not used.
-    pub(crate) fn refund_retry(&self, pool: &Name, spent_at: UnixMs) {
-        self.with_budget(pool, |budget| budget.refund(spent_at));
-        self.metrics.count_retry("returned");
-    }
-
-    /// Reports whether the service's retry budget has a retry left.
-    pub(crate) fn may_spend_retry(&self, pool: &Name, repeat: RetryKind) -> bool {
-        let now = self.clock.now();
-        let entries = self.entries.lock().unwrap().current();
-        self.with_budget(pool, |budget| budget.has_left(now, entries, repeat))
-    }
-
     /// Takes a transfer between a prompt store and an upstream from the link's budget.
     pub(crate) fn may_use_link(
         &self,
@@ -318,16 +288,6 @@
         self.upstreams.all().iter().filter_map(seen).max()
     }
 
-    fn with_budget<T>(
-        &self,
-        pool: &Name,
-        act: impl FnOnce(&mut SharedRetryBudget) -> T,
-    ) -> T {
-        let mut budgets = self.budgets.lock().unwrap();
-        let fresh = || SharedRetryBudget::new(self.settings.budget);
-        act(budgets.entry(pool.clone()).or_insert_with(fresh))
-    }
-
     /// Returns the range of retry delays for callers if no upstream of the service is
     /// alive.
     pub(crate) fn outage_retry_range_ms(
--- a/crates/bilberry-gateway/src/lib.rs
+++ b/crates/bilberry-gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod request_context;
 mod request_log;
 mod request_permit;
+mod retry_permit;
 mod run_observation;
 mod run_query;
 mod run_stop;
--- a/crates/bilberry-gateway/src/quota.rs
+++ b/crates/bilberry-gateway/src/quota.rs
@@ -6,6 +6,7 @@
 use bilberry_core::Name;
 use bilberry_core::QUOTA_OWNERS;
 use bilberry_core::Quota;
+use bilberry_core::QuotaCharge;
 use bilberry_core::QuotaDecision;
 use bilberry_core::RankedOwner;
 use bilberry_core::combine_replies;
@@ -46,7 +47,7 @@
 const CONTACT_TIMEOUT_MS: u64 = 600;
 
 /// The interval at which a request without an owner looks for one.
-const CONTACT_POLL_INTERVAL: Duration = Duration::from_millis(20);
+pub(crate) const CONTACT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The number of entries assumed until an owner tells it.
 const ASSUMED_ENTRIES: usize = 16;
@@ -82,6 +83,8 @@
             is_takeover: false,
             entries: 0,
             version_age_ms: None,
+            initial: 0.0,
+            is_uniform: false,
         };
         let decision = match self.decide_at_owners(&request, context).await {
             Some(decision) => Some(decision),
@@ -255,6 +258,13 @@
         let mut state = self.quotas.state.lock().unwrap();
         context.add_detail(&format!("quota: cost {cost}, no owner, {entries} entries"));
         let draw = rand::random();
-        state.isolated.charge(customer, quota, cost, entries, draw, now)
+        let charge = QuotaCharge {
+            cost,
+            key: context.key,
+            max_wait_ms: 0,
+            initial: 0.0,
+            is_uniform: false,
+        };
+        state.isolated.charge(customer, quota, charge, entries, draw, now)
     }
 }
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -218,11 +218,11 @@
                 .resume_from_backup(context, last_event, upstream, first_run_end)
                 .await;
         }
-        if !self.may_run_after(context, context.runs)
-            || !self.try_spend_retry(&context.pool.name, RetryKind::Resume)
-        {
+        if !self.may_run_after(context, context.runs) {
             return None;
         }
+        context.retry =
+            Some(self.take_retry(&context.pool.name, RetryKind::Resume).await?);
         context.call.last_event = splitter.last_id().or(context.call.last_event);
         let response = self.forward(context).await.ok()?;
         if response.http.status() != StatusCode::OK {
--- a/crates/bilberry-gateway/src/request_context.rs
+++ b/crates/bilberry-gateway/src/request_context.rs
@@ -21,6 +21,7 @@
 use crate::Route;
 use crate::Upstream;
 use crate::quota_client::ChargedQuota;
+use crate::retry_permit::RetryPermit;
 use crate::stream_origin::StreamStart;
 use crate::successor::UnusedSuccessors;
 use crate::trials::Trial;
@@ -83,9 +84,11 @@
     pub(crate) start: StreamStart,
     /// The upstream that keeps a backup of the request's KV cache.
     pub backup: Option<Arc<Upstream>>,
-    /// When the retry for this upstream to take the run over was spent, while the run may
-    /// still be in progress.
-    pub(crate) takeover_reserved_at: Option<UnixMs>,
+    /// The retry for this upstream to take the run over, while the run may still be in
+    /// progress.
+    pub(crate) takeover_retry: Option<Arc<RetryPermit>>,
+    /// The retry that the next send uses, until that has arrived.
+    pub(crate) retry: Option<Arc<RetryPermit>>,
     /// The version of the weights of the chosen upstream.
     pub weights: Option<u64>,
     /// How long these weights had been outdated when the request was placed.
@@ -137,6 +140,13 @@
 }
 
 impl RequestContext {
+    /// Records whether the send that uses the retry may have reached its upstream.
+    pub(crate) fn set_retry_sent(&self, is_sent: bool) {
+        if let Some(retry) = &self.retry {
+            retry.set_sent(is_sent);
+        }
+    }
+
     /// Reports whether this incarnation of an upstream was already tried.
     pub fn has_tried(&self, upstream: &Arc<Upstream>) -> bool {
         self.tried.iter().any(|tried| Arc::ptr_eq(tried, upstream))
--- a/crates/bilberry-gateway/src/request_permit.rs
+++ b/crates/bilberry-gateway/src/request_permit.rs
@@ -10,13 +10,17 @@
 use bilberry_core::LimitReport;
 use bilberry_core::Name;
 use bilberry_core::Quota;
+use bilberry_core::QuotaCharge;
 use bilberry_core::QuotaDecision;
+use bilberry_core::RankedOwner;
+use bilberry_core::RequestKey;
 use bilberry_core::UnixMs;
 use bilberry_core::combine_replies;
 use bilberry_wire::LimitNotice;
 use bilberry_wire::QuotaRequest;
 use hyper::HeaderMap;
 use hyper::StatusCode;
+use tokio::time::sleep;
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -24,6 +28,8 @@
 use crate::Gateway;
 use crate::RequestContext;
 use crate::Upstream;
+use crate::quota::CONTACT_POLL_INTERVAL;
+use crate::quota_client::ChargedQuota;
 use crate::quota_client::OwnerAnswer;
 use crate::quota_client::OwnerAnswers;
 use crate::quota_client::QuotaQuestion;
@@ -36,6 +42,9 @@
 /// The time until the next charge after owners did not reply.
 const UNDECIDED_WAIT_MS: u64 = 250;
 
+/// The time after its start in which an entry gets in contact with sidecars.
+const FIRST_CONTACT_MS: u64 = 250;
+
 /// The longest time until the next charge at an entry that reaches no owner.
 const MAX_ISOLATED_WAIT_MS: u64 = 5_000;
 
@@ -119,7 +128,19 @@
         };
         upstream.await_permit(self.clock.now());
         let quota = limit.quota(report.at);
-        let decision = self.charge_limit(context, upstream, quota).await;
+        let asked_at = self.clock.now();
+        let request = QuotaRequest {
+            customer: bucket_name(&upstream.id),
+            config_version: quota.version,
+            rate_per_s: quota.rate_per_s,
+            burst: quota.burst,
+            cost: 1.0,
+            key: context.key.0,
+            version_age_ms: Some(asked_at.0.saturating_sub(quota.version)),
+            ..QuotaRequest::default()
+        };
+        let (decision, charged) = self.charge_bucket(request).await;
+        context.permit = charged;
         let now = self.clock.now();
         match decision {
             QuotaDecision::Admitted => {
@@ -155,55 +176,71 @@
         }
     }
 
-    async fn charge_limit(
+    /// Makes a charge to a bucket that owners keep for all entries, or to this entry's part
+    /// of it if no owner is in contact.
+    pub(crate) async fn charge_bucket(
         &self,
-        context: &mut RequestContext,
-        upstream: &Upstream,
-        quota: Quota,
-    ) -> QuotaDecision {
+        request: QuotaRequest,
+    ) -> (QuotaDecision, Option<ChargedQuota>) {
         let now = self.clock.now();
-        let request = QuotaRequest {
-            customer: bucket_name(&upstream.id),
-            config_version: quota.version,
-            rate_per_s: quota.rate_per_s,
-            burst: quota.burst,
-            cost: 1.0,
-            key: context.key.0,
-            max_wait_ms: 0,
-            is_takeover: false,
-            entries: 0,
-            version_age_ms: Some(now.0.saturating_sub(quota.version)),
-        };
         let bucket = xxh3_64(request.customer.as_bytes());
-        let owners = self.quotas.state.lock().unwrap().owners(bucket, &[], now);
+        let mut owners = self.quotas.state.lock().unwrap().owners(bucket, &[], now);
+        if owners.is_empty() && request.initial > 0.0 {
+            owners = self.await_first_owners(bucket).await;
+        }
         if owners.is_empty() {
-            return self.charge_limit_isolated(&request.customer, quota);
+            return (self.charge_bucket_isolated(&request), None);
         }
         let mut answers = OwnerAnswers::new(&self.quotas, &request);
         let asking = self.ask_owners(&request, &owners, &mut answers);
         let _ = timeout(DECISION_TIMEOUT, asking).await;
         if answers.get().len() < owners.len() {
-            return QuotaDecision::Denied { wait_ms: UNDECIDED_WAIT_MS };
+            return (QuotaDecision::Denied { wait_ms: UNDECIDED_WAIT_MS }, None);
         }
         let replies: Vec<_> = answers.get().iter().map(OwnerAnswer::reply).collect();
         match combine_replies(&replies) {
             Some(QuotaDecision::Admitted) => {
-                context.permit = Some(answers.into_charge());
-                QuotaDecision::Admitted
+                (QuotaDecision::Admitted, Some(answers.into_charge()))
             }
-            Some(denied) => denied,
-            None => QuotaDecision::Denied { wait_ms: UNDECIDED_WAIT_MS },
+            Some(denied) => (denied, None),
+            None => (QuotaDecision::Denied { wait_ms: UNDECIDED_WAIT_MS }, None),
         }
     }
 
-    /// Charges a request to this entry's part of a limit.
-    fn charge_limit_isolated(&self, bucket: &str, quota: Quota) -> QuotaDecision {
+    /// Waits until an entry that has just started is in contact with owners of a bucket.
+    ///
+    /// What it may use without them is used in addition to what they grant to others.
+    async fn await_first_owners(&self, bucket: u64) -> Vec<RankedOwner> {
+        loop {
+            let now = self.clock.now();
+            let (owners, started_at) = {
+                let state = self.quotas.state.lock().unwrap();
+                (state.owners(bucket, &[], now), state.isolated.started_at())
+            };
+            if !owners.is_empty() || now.ms_since(started_at) >= FIRST_CONTACT_MS {
+                return owners;
+            }
+            sleep(CONTACT_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Makes a charge to this entry's part of a bucket.
+    fn charge_bucket_isolated(&self, request: &QuotaRequest) -> QuotaDecision {
+        let QuotaRequest { rate_per_s, burst, .. } = *request;
+        let quota = Quota { rate_per_s, burst, version: request.config_version };
+        let bucket = Name::from(request.customer.as_str());
         let entries = self.entries_sharing();
         let now = self.clock.now();
         let mut state = self.quotas.state.lock().unwrap();
         let draw = rand::random();
-        let bucket = Name::from(bucket);
-        match state.isolated.charge(&bucket, quota, 1.0, entries, draw, now) {
+        let charge = QuotaCharge {
+            cost: request.cost,
+            key: RequestKey(request.key),
+            max_wait_ms: request.max_wait_ms,
+            initial: request.initial,
+            is_uniform: request.is_uniform,
+        };
+        match state.isolated.charge(&bucket, quota, charge, entries, draw, now) {
             true => QuotaDecision::Admitted,
             false => {
                 let wait_ms = (entries as f64 / quota.rate_per_s * 1_000.0) as u64;
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -5,7 +5,6 @@
 use bilberry_core::Clock;
 use bilberry_core::Name;
 use bilberry_core::RequestKey;
-use bilberry_core::RetryKind;
 use bilberry_core::UnixMs;
 use bilberry_node::ClientTimeouts;
 use bilberry_node::HttpHandler;
@@ -203,7 +202,8 @@
             runs: 0,
             start: StreamStart::default(),
             backup: None,
-            takeover_reserved_at: None,
+            takeover_retry: None,
+            retry: None,
             weights: None,
             weights_outdated_ms: None,
             predicted: None,
@@ -377,9 +377,7 @@
                 Err(Refusal::OutcomeUnknown) => {
                     context.runs += 1;
                     let again = self.gateway.may_run_after(context, context.runs)
-                        && self
-                            .gateway
-                            .try_spend_retry(&context.pool.name, RetryKind::Resend);
+                        && self.gateway.take_resend(context).await;
                     if !again {
                         return ServeOutcome::Refused(Refusal::OutcomeUnknown);
                     }
--- a/crates/bilberry-gateway/src/successor.rs
+++ b/crates/bilberry-gateway/src/successor.rs
@@ -11,7 +11,6 @@
 use bilberry_core::HandoverStep;
 use bilberry_core::RetryKind;
 use bilberry_core::RunOverlap;
-use bilberry_core::UnixMs;
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::FutureExt;
@@ -61,18 +60,17 @@
     gateway: Arc<Gateway<D, C>>,
     unused: UnusedSuccessors,
     context: Option<RequestContext>,
-    /// The number of sends before it, and when its retry was spent.
-    began: (u32, UnixMs),
+    /// The number of sends before it.
+    earlier_sends: u32,
 }
 
 impl<D: Dialect, C: Clock> Drop for SuccessorGuard<D, C> {
     fn drop(&mut self) {
         let Some(mut context) = self.context.take() else { return };
-        let (sends, retry_at) = self.began;
-        if context.sends == sends {
-            self.gateway.refund_retry(&context.pool.name, retry_at);
+        if context.sends == self.earlier_sends {
             self.gateway.return_permit(&mut context);
         }
+        context.retry = None;
         self.gateway.record_abandoned_run(&context);
         self.unused.contexts.lock().unwrap().push(context);
     }
@@ -84,6 +82,8 @@
         let mut successor = Self {
             quota: None,
             permit: None,
+            retry: None,
+            takeover_retry: None,
             trial: None,
             backup: None,
             prefill: None,
@@ -219,17 +219,18 @@
     /// Begins a successor and waits until it has begun to answer; `None` if that fails.
     async fn begin_successor(
         self: Arc<Self>,
-        context: RequestContext,
+        mut context: RequestContext,
         retry: RetryKind,
         suspicion: Suspicion,
         unused: UnusedSuccessors,
     ) -> Option<Box<BegunRun>> {
-        let began = (context.sends, self.clock.now());
-        if !self.try_spend_retry(&context.pool.name, retry) {
-            return None;
-        }
-        let gateway = self.clone();
-        let mut guard = SuccessorGuard { gateway, unused, context: Some(context), began };
+        context.retry = Some(self.take_retry(&context.pool.name, retry).await?);
+        let mut guard = SuccessorGuard {
+            gateway: self.clone(),
+            unused,
+            earlier_sends: context.sends,
+            context: Some(context),
+        };
         let context = guard.context.as_mut()?;
         let mut response = self.forward(context).await.ok()?;
         let is_usable = match retry {
--- a/crates/bilberry-steward/src/quota_owner.rs
+++ b/crates/bilberry-steward/src/quota_owner.rs
@@ -76,6 +76,8 @@
             cost: request.cost,
             key: RequestKey(request.key),
             max_wait_ms: request.max_wait_ms,
+            initial: request.initial,
+            is_uniform: request.is_uniform,
         };
         let share = state.share(now);
         let ledger = &mut state.ledger;
--- a/crates/bilberry-wire/src/quota.rs
+++ b/crates/bilberry-wire/src/quota.rs
@@ -35,6 +35,13 @@
     /// The sidecar then derives the version from its own clock, as hosts' clocks differ.
     #[prost(uint64, optional, tag = "10")]
     pub version_age_ms: Option<u64>,
+    /// What the bucket holds when the sidecar first hears of it, in units.
+    #[prost(double, tag = "11")]
+    pub initial: f64,
+    /// Whether all charges of the bucket cost about the same, so that nothing is reserved
+    /// for small ones.
+    #[prost(bool, tag = "12")]
+    pub is_uniform: bool,
 }
 
 /// The reply to a [`QuotaRequest`].
