Ask the shared bucket of retries less often after each denial in a row

An entry that was denied a retry waited in proportion to the number of entries, up to 2 s, though the bucket had one after 0.4 s: callers at a host that stands still got no second engine within their 2 s. The wait doubles with each denial now.

--- a/crates/bilberry-core/src/shared_retry_budget.rs
+++ b/crates/bilberry-core/src/shared_retry_budget.rs
@@ -50,6 +50,9 @@
 /// requests after such a loss would have no retry.
 const SHARED_INITIAL_FRACTION: f64 = 0.1;
 
+/// The longest time for which a denial of the shared bucket holds.
+const MAX_DENIED_MS: u64 = 2_000;
+
 /// The purpose of a retry.
 #[derive(Debug, Copy, Clone, PartialEq, Eq)]
 pub enum RetryKind {
@@ -122,6 +125,8 @@
     /// What was taken for retries that have arrived since the last call with a time.
     arrived: f64,
     shared_denied_until: UnixMs,
+    /// How often in a row the shared bucket had no retry.
+    shared_denials: u32,
 }
 
 #[derive(Debug)]
@@ -140,6 +145,7 @@
             pending: 0.0,
             arrived: 0.0,
             shared_denied_until: UnixMs(0),
+            shared_denials: 0,
         }
     }
 
@@ -176,8 +182,19 @@
         self.pending = (self.pending - own).max(0.0);
     }
 
-    /// Records that the shared bucket has no retry until `until`.
-    pub fn record_shared_denied(&mut self, until: UnixMs) {
+    /// Records that the shared bucket had a retry.
+    pub fn record_shared_granted(&mut self) {
+        self.shared_denials = 0;
+    }
+
+    /// Records that the shared bucket has no retry for `wait_ms`.
+    ///
+    /// Many entries may wait for the same retry, so the entry waits longer after each denial
+    /// in a row.
+    pub fn record_shared_denied(&mut self, wait_ms: u64, now: UnixMs) {
+        let wait_ms = wait_ms.saturating_mul(1 << self.shared_denials.min(4));
+        let until = now.plus_ms(wait_ms.min(MAX_DENIED_MS));
+        self.shared_denials += 1;
         self.shared_denied_until = self.shared_denied_until.max(until);
     }
 
--- a/crates/bilberry-core/tests/retry_budget.rs
+++ b/crates/bilberry-core/tests/retry_budget.rs
@@ -75,7 +75,7 @@
     };
     assert!((own - 0.54).abs() < 1e-9, "{own}");
     budget.cancel(own);
-    budget.record_shared_denied(now.plus_ms(100));
+    budget.record_shared_denied(100, now);
     assert_eq!(budget.take(now, RetryKind::Resume), RetrySource::Denied);
     assert!(budget.has_left(now.plus_ms(100), RetryKind::Resume));
 }
--- a/crates/bilberry-core/tests/retry_model/mod.rs
+++ b/crates/bilberry-core/tests/retry_model/mod.rs
@@ -277,12 +277,13 @@
                 };
                 let decision = self.owners.charge(entry, self.quota, charge, now);
                 if decision == Some(QuotaDecision::Admitted) {
+                    self.budget(entry).record_shared_granted();
                     return Some(own);
                 }
                 let budget = self.budget(entry);
                 budget.cancel(own);
                 if let Some(QuotaDecision::Denied { wait_ms }) = decision {
-                    budget.record_shared_denied(now.plus_ms(wait_ms.min(2_000)));
+                    budget.record_shared_denied(wait_ms, now);
                 }
                 None
             }
--- a/crates/bilberry-gateway/src/retry_permit.rs
+++ b/crates/bilberry-gateway/src/retry_permit.rs
@@ -20,9 +20,6 @@
 use crate::quota_client::ChargedQuota;
 use crate::quota_client::QuotaClient;
 
-/// The longest time for which a denial of the shared bucket holds.
-const MAX_DENIED_MS: u64 = 2_000;
-
 /// This entry's parts of the retry budgets of all services.
 #[derive(Debug)]
 pub(crate) struct RetryBudgets {
@@ -147,12 +144,13 @@
             ..QuotaRequest::default()
         };
         let (decision, charged) = self.charge_bucket(request).await;
-        if let QuotaDecision::Denied { wait_ms } = decision {
-            // All entries ask the same owners, so each waits in proportion.
-            let wait_ms = wait_ms.saturating_mul(self.entries_sharing() as u64);
-            let until = self.clock.now().plus_ms(wait_ms.min(MAX_DENIED_MS));
-            self.retries.with(pool, |budget| budget.record_shared_denied(until));
-        }
+        let now = self.clock.now();
+        self.retries.with(pool, |budget| match decision {
+            QuotaDecision::Admitted => budget.record_shared_granted(),
+            QuotaDecision::Denied { wait_ms } => {
+                budget.record_shared_denied(wait_ms, now);
+            }
+        });
         (decision == QuotaDecision::Admitted, charged)
     }
 }
