--- a/crates/bilberry-core/src/host_life.rs
+++ b/crates/bilberry-core/src/host_life.rs
@@ -26,9 +26,12 @@
 /// The signs of life of a host with an engine and a sidecar, as seen by one entry.
 #[derive(Debug, Clone, Default)]
 pub struct HostLife {
-    /// When a sidecar's report or an engine's answer last came; `None` before the first
-    /// report, as a host without a sidecar is never checked.
+    /// When a sidecar's report or an engine's answer last came, or the connection to the
+    /// sidecar was accepted; `None` before that, as a host without a sidecar is never
+    /// checked.
     sign_at: Option<UnixMs>,
+    /// Whether the sidecar has ever reported.
+    has_reported: bool,
     /// When the next check is due.
     check_at: UnixMs,
     /// The checks with the same result since the last report.
@@ -37,9 +40,21 @@
 }
 
 impl HostLife {
+    /// Records that the host has accepted the connection to its sidecar, from which a report
+    /// is due.
+    ///
+    /// Hosts that stand still accept connections as well.
+    pub fn expect_report(&mut self, now: UnixMs) {
+        if self.sign_at.is_none() {
+            self.sign_at = Some(now);
+            self.check_at = now.plus_ms(DOUBT_AFTER_MS);
+        }
+    }
+
     /// Records a report of the sidecar.
     pub fn record_report(&mut self, now: UnixMs) {
         self.sign_at = Some(now);
+        self.has_reported = true;
         self.check_at = now.plus_ms(DOUBT_AFTER_MS);
         self.checks = 0;
         self.is_silent = false;
@@ -97,9 +112,12 @@
         self.is_silent
     }
 
-    /// Reports whether the host is silent, or its next report is overdue.
+    /// Reports whether the host is silent, or its next report is overdue, or its first one has
+    /// not come yet.
     pub fn is_doubtful(&self, now: UnixMs) -> bool {
         let is_overdue = |sign_at: UnixMs| now.ms_since(sign_at) >= DOUBT_AFTER_MS;
-        self.is_silent || self.checks == 0 && self.sign_at.is_some_and(is_overdue)
+        let is_unheard = self.sign_at.is_some() && !self.has_reported;
+        let is_overdue = is_unheard || self.sign_at.is_some_and(is_overdue);
+        self.is_silent || self.checks == 0 && is_overdue
     }
 }
--- a/crates/bilberry-core/tests/host_life.rs
+++ b/crates/bilberry-core/tests/host_life.rs
@@ -30,6 +30,21 @@
     assert!(!life.begin_check(at(90_000)));
 }
 
+/// Guards against requests of an entry that starts while a host stands still.
+#[test]
+fn a_host_whose_first_report_does_not_come_is_checked() {
+    let mut life = HostLife::default();
+    life.expect_report(at(0));
+    assert!(life.is_doubtful(at(10)) && !life.begin_check(at(600)));
+    assert!(life.begin_check(at(700)));
+    life.record_check(false, at(700), at(950));
+    assert!(life.is_silent());
+    life.expect_report(at(1_000));
+    assert!(life.is_silent());
+    life.record_report(at(1_100));
+    assert!(!life.is_silent() && !life.is_doubtful(at(1_100)));
+}
+
 #[test]
 fn a_standstill_of_the_entry_does_not_count_as_that_of_the_host() {
     let mut life = HostLife::default();
--- a/crates/bilberry-gateway/src/feeds.rs
+++ b/crates/bilberry-gateway/src/feeds.rs
@@ -168,6 +168,10 @@
     let connected = connecting.await.map_err(timed_out)?;
     gateway.sidecars.record_connect(address.ip(), &connected, gateway.clock.now());
     let stream = connected?;
+    if let Some(upstream) = gateway.upstreams.get(id) {
+        let now = gateway.clock.now();
+        upstream.with_host_life(|life| life.expect_report(now));
+    }
     set_tcp_options(&stream);
     let mut framed = Framed::new(stream, FrameCodec::new());
     let (queue, mut queued) = mpsc::channel(NOTICE_QUEUE_CAPACITY);
