Start the own protocol's retry budget with two retries, not with ten

The cause of the retries beyond the budget, looked for elsewhere: each start of an entry began with the maximum balance of ten retries, whatever its predecessor had spent. Ten starts without traffic: 100 retries before, 20 now.

--- a/crates/bilberry-core/src/retry.rs
+++ b/crates/bilberry-core/src/retry.rs
@@ -9,6 +9,12 @@
 /// The maximum balance, in thousandths of a retry.
 const MAX_BALANCE_MILLI: u64 = 10_000;
 
+/// The balance of an entry that starts, in thousandths of a retry.
+///
+/// It can't know what its predecessor has spent, so entries that are started in series add
+/// little to the tenth of the traffic.
+const INITIAL_BALANCE_MILLI: u64 = 2_000;
+
 /// The shortest retry delay that a refused caller is advised.
 const MIN_RETRY_AFTER_MS: u64 = 1_000;
 
@@ -22,9 +28,9 @@
 }
 
 impl RetryBudget {
-    /// Creates a budget with the maximum balance.
+    /// Creates the budget of an entry that starts.
     pub fn new() -> Self {
-        Self { balance_milli: MAX_BALANCE_MILLI }
+        Self { balance_milli: INITIAL_BALANCE_MILLI }
     }
 
     /// Adds the credit of one first attempt.
--- a/crates/bilberry-core/tests/decisions.rs
+++ b/crates/bilberry-core/tests/decisions.rs
@@ -204,6 +204,17 @@
     assert_eq!(retries.count(), 100);
 }
 
+/// Guards against a new full budget with each start of an entry.
+#[test]
+fn entries_started_in_series_add_few_retries() {
+    let retries = |_| {
+        let mut budget = RetryBudget::new();
+        std::iter::from_fn(|| budget.spend().then_some(())).count()
+    };
+    let total: usize = (0..10).map(retries).sum();
+    assert!(total <= 20, "{total} retries without any traffic");
+}
+
 #[test]
 fn retries_of_refused_callers_spread_over_one_to_two_waits() {
     assert_eq!(retry_after_ms(3_000, 0.0), 3_000);
