--- a/crates/bilberry-gateway/src/request_permit.rs
+++ b/crates/bilberry-gateway/src/request_permit.rs
@@ -11,10 +11,8 @@
 use bilberry_core::Name;
 use bilberry_core::QUOTA_OWNERS;
 use bilberry_core::Quota;
-use bilberry_core::QuotaCharge;
 use bilberry_core::QuotaDecision;
 use bilberry_core::RankedOwner;
-use bilberry_core::RequestKey;
 use bilberry_core::UnixMs;
 use bilberry_core::combine_replies;
 use bilberry_wire::LimitNotice;
@@ -52,6 +50,17 @@
 /// The longest time until the next charge at an entry that reaches no owner.
 const MAX_ISOLATED_WAIT_MS: u64 = 5_000;
 
+/// How owners of a bucket are asked.
+#[derive(Debug, Copy, Clone, PartialEq, Eq)]
+pub(crate) enum OwnerRounds {
+    /// Once; without all replies the charge is denied, as another server can take the
+    /// request.
+    One,
+    /// Those that do not reply are replaced, and an entry that has just started waits for
+    /// the first contact.
+    Several,
+}
+
 impl<D: Dialect, C: Clock> Gateway<D, C> {
     /// Records what the response to a request says about its server, and passes the limit
     /// of the server on.
@@ -143,7 +152,7 @@
             version_age_ms: Some(asked_at.0.saturating_sub(quota.version)),
             ..QuotaRequest::default()
         };
-        let (decision, charged) = self.charge_bucket(request).await;
+        let (decision, charged) = self.charge_bucket(request, OwnerRounds::One).await;
         context.permit = charged;
         let now = self.clock.now();
         match decision {
@@ -185,20 +194,21 @@
     pub(crate) async fn charge_bucket(
         &self,
         request: QuotaRequest,
+        rounds: OwnerRounds,
     ) -> (QuotaDecision, Option<ChargedQuota>) {
         let now = self.clock.now();
         let bucket = xxh3_64(request.customer.as_bytes());
         let mut owners = self.quotas.state.lock().unwrap().owners(bucket, &[], now);
-        if owners.is_empty() && request.initial > 0.0 {
+        if owners.is_empty() && rounds == OwnerRounds::Several {
             owners = self.await_first_owners(bucket).await;
         }
         if owners.is_empty() {
             return (self.charge_bucket_isolated(&request), None);
         }
         let mut answers = OwnerAnswers::new(&self.quotas, &request);
-        let have_replied = match request.initial > 0.0 {
-            true => self.ask_owners_in_turn(&request, &mut answers).await,
-            false => {
+        let have_replied = match rounds {
+            OwnerRounds::Several => self.ask_owners_in_turn(&request, &mut answers).await,
+            OwnerRounds::One => {
                 let asking = self.ask_owners(&request, &owners, &mut answers);
                 let _ = timeout(DECISION_TIMEOUT, asking).await;
                 answers.get().len() >= owners.len()
@@ -265,13 +275,7 @@
         let now = self.clock.now();
         let mut state = self.quotas.state.lock().unwrap();
         let draw = rand::random();
-        let charge = QuotaCharge {
-            cost: request.cost,
-            key: RequestKey(request.key),
-            max_wait_ms: request.max_wait_ms,
-            initial: request.initial,
-            is_uniform: request.is_uniform,
-        };
+        let charge = request.charge();
         match state.isolated.charge(&bucket, quota, charge, entries, draw, now) {
             true => QuotaDecision::Admitted,
             false => {
--- a/crates/bilberry-gateway/src/retry_permit.rs
+++ b/crates/bilberry-gateway/src/retry_permit.rs
@@ -19,6 +19,7 @@
 use crate::Gateway;
 use crate::quota_client::ChargedQuota;
 use crate::quota_client::QuotaClient;
+use crate::request_permit::OwnerRounds;
 
 /// This entry's parts of the retry budgets of all services.
 #[derive(Debug)]
@@ -143,7 +144,7 @@
             is_uniform: true,
             ..QuotaRequest::default()
         };
-        let (decision, charged) = self.charge_bucket(request).await;
+        let (decision, charged) = self.charge_bucket(request, OwnerRounds::Several).await;
         let now = self.clock.now();
         self.retries.with(pool, |budget| match decision {
             QuotaDecision::Admitted => budget.record_shared_granted(),
--- a/crates/bilberry-steward/src/quota_owner.rs
+++ b/crates/bilberry-steward/src/quota_owner.rs
@@ -8,10 +8,8 @@
 use bilberry_core::EntryRoster;
 use bilberry_core::Name;
 use bilberry_core::Quota;
-use bilberry_core::QuotaCharge;
 use bilberry_core::QuotaDecision;
 use bilberry_core::QuotaLedger;
-use bilberry_core::RequestKey;
 use bilberry_core::UnixMs;
 use bilberry_wire::QuotaRefund;
 use bilberry_wire::QuotaRequest;
@@ -72,13 +70,7 @@
                 .version_age_ms
                 .map_or(request.config_version, |age_ms| now.0.saturating_sub(age_ms)),
         };
-        let charge = QuotaCharge {
-            cost: request.cost,
-            key: RequestKey(request.key),
-            max_wait_ms: request.max_wait_ms,
-            initial: request.initial,
-            is_uniform: request.is_uniform,
-        };
+        let charge = request.charge();
         let share = state.share(now);
         let ledger = &mut state.ledger;
         let reply =
--- a/crates/bilberry-wire/src/quota.rs
+++ b/crates/bilberry-wire/src/quota.rs
@@ -1,5 +1,8 @@
 //! Charges to customer quotas, from entries to the sidecars that keep the buckets.
 
+use bilberry_core::QuotaCharge;
+use bilberry_core::RequestKey;
+
 /// Asks an owner to charge a request to its customer's bucket.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct QuotaRequest {
@@ -44,6 +47,19 @@
     pub is_uniform: bool,
 }
 
+impl QuotaRequest {
+    /// Returns the charge that it asks for.
+    pub fn charge(&self) -> QuotaCharge {
+        QuotaCharge {
+            cost: self.cost,
+            key: RequestKey(self.key),
+            max_wait_ms: self.max_wait_ms,
+            initial: self.initial,
+            is_uniform: self.is_uniform,
+        }
+    }
+}
+
 /// The reply to a [`QuotaRequest`].
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct QuotaResponse {
