Count retries that arrived or were returned, and callers that left by their hosts' state

The counters of returned retries had gone with the former budget, and only the request log told what was known of the host of a run whose caller left.

--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -120,6 +120,7 @@
 impl<D: Dialect, C: Clock> Gateway<D, C> {
     /// Creates an entry without configuration or upstreams.
     pub fn new(dialect: D, clock: C, settings: GatewaySettings) -> Self {
+        let metrics = GatewayMetrics::new();
         Self {
             dialect,
             connections: ConnectionPool::new(clock.clone()),
@@ -128,7 +129,11 @@
             software_histories: Mutex::default(),
             clock,
             upstreams: Upstreams::default(),
-            metrics: GatewayMetrics::new(),
+            retries: Arc::new(RetryBudgets::new(
+                settings.budget,
+                metrics.retries.clone(),
+            )),
+            metrics,
             stores: PromptStores::default(),
             weights: KnownWeights::default(),
             hubs: Hubs::default(),
@@ -136,7 +141,6 @@
             crashes: KnownCrashes::new(&settings.host),
             trials: Trials::default(),
             overload: Mutex::default(),
-            retries: Arc::new(RetryBudgets::new(settings.budget)),
             settings,
             waiting: WaitingRequests::default(),
             speed: SpeedEstimates::default(),
--- a/crates/bilberry-gateway/src/host_checks.rs
+++ b/crates/bilberry-gateway/src/host_checks.rs
@@ -10,6 +10,7 @@
 
 use crate::Dialect;
 use crate::Gateway;
+use crate::RequestContext;
 use crate::Upstream;
 use crate::connections::ConnectError;
 use crate::connections::connect;
@@ -60,6 +61,18 @@
         }
     }
 
+    /// Counts a caller that left by what is known of the host of its run.
+    pub(crate) fn count_left_caller(&self, context: &RequestContext) {
+        let now = self.clock.now();
+        self.metrics.count_left_caller(match &context.sent_to {
+            None => "not_sent",
+            Some(upstream) if upstream.is_host_silent() => "host_silent",
+            Some(upstream) if upstream.is_host_doubtful(now) => "host_doubtful",
+            Some(upstream) if upstream.heard_at().is_some() => "host_alive",
+            Some(_) => "host_unknown",
+        });
+    }
+
     /// Waits until a caller of a stream would leave without an answer, while the host of its
     /// run shows no sign of life.
     ///
--- a/crates/bilberry-gateway/src/metrics.rs
+++ b/crates/bilberry-gateway/src/metrics.rs
@@ -54,6 +54,9 @@
     pub run_queries: Family<OutcomeLabel, Counter>,
     /// Runs given up while their upstreams were connected, by what became of the answer.
     pub left_runs: Family<OutcomeLabel, Counter>,
+    /// Callers that left without their whole answers, by what is known of the host of their
+    /// run.
+    pub left_callers: Family<OutcomeLabel, Counter>,
     /// Retries of the budget that all entries share, by what became of them.
     pub retries: Family<OutcomeLabel, Counter>,
     /// Runs that were in progress at an upstream when it crashed.
@@ -115,6 +118,7 @@
             admission_wait_seconds: histogram(),
             run_queries: Family::default(),
             left_runs: Family::default(),
+            left_callers: Family::default(),
             retries: Family::default(),
             crashed_runs: Counter::default(),
             closed_connections: Counter::default(),
@@ -150,6 +154,8 @@
         registry.register("run_queries", help, self.run_queries.clone());
         let help = "Runs given up while connected by what became of the answer";
         registry.register("left_runs", help, self.left_runs.clone());
+        let help = "Callers that left by what is known of the host of their run";
+        registry.register("left_callers", help, self.left_callers.clone());
         let help = "Retries of the shared budget by what became of them";
         registry.register("retries", help, self.retries.clone());
         let help = "Runs in progress at an upstream when it crashed";
@@ -229,9 +235,10 @@
         self.left_runs.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
-    /// Counts what became of a retry.
-    pub(crate) fn count_retry(&self, outcome: &'static str) {
-        self.retries.get_or_create(&OutcomeLabel { outcome }).inc();
+    /// Counts a caller that left without its whole answer, by what is known of the host of its
+    /// run.
+    pub(crate) fn count_left_caller(&self, host: &'static str) {
+        self.left_callers.get_or_create(&OutcomeLabel { outcome: host }).inc();
     }
 
     /// Counts units by the decision on their charge.
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -106,7 +106,10 @@
         tokio::spawn(async move {
             let ended = self.relay_stream(&mut context, response, &pieces).await;
             match ended {
-                BodyEnd::CallerLeft => self.record_abandoned_run(&context),
+                BodyEnd::CallerLeft => {
+                    self.count_left_caller(&context);
+                    self.record_abandoned_run(&context);
+                }
                 BodyEnd::Complete if context.run_first_event_at.is_some() => {
                     self.record_sound_parts(&mut context);
                 }
--- a/crates/bilberry-gateway/src/retry_permit.rs
+++ b/crates/bilberry-gateway/src/retry_permit.rs
@@ -14,9 +14,12 @@
 use bilberry_core::RetrySource;
 use bilberry_core::SharedRetryBudget;
 use bilberry_wire::QuotaRequest;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 
 use crate::Dialect;
 use crate::Gateway;
+use crate::metrics::OutcomeLabel;
 use crate::quota_client::ChargedQuota;
 use crate::quota_client::QuotaClient;
 use crate::request_permit::OwnerRounds;
@@ -25,6 +28,8 @@
 #[derive(Debug)]
 pub(crate) struct RetryBudgets {
     limits: BudgetLimits,
+    /// Retries by what became of them.
+    outcomes: Family<OutcomeLabel, Counter>,
     by_pool: Mutex<HashMap<Name, SharedRetryBudget>>,
 }
 
@@ -41,13 +46,22 @@
     own: f64,
     /// What was charged to the shared bucket.
     charged: Option<ChargedQuota>,
+    /// Whether the budget has granted it.
+    is_granted: bool,
     is_sent: AtomicBool,
 }
 
 impl RetryBudgets {
     /// Creates the budgets of an entry that has had no requests.
-    pub(crate) fn new(limits: BudgetLimits) -> Self {
-        Self { limits, by_pool: Mutex::default() }
+    pub(crate) fn new(
+        limits: BudgetLimits,
+        outcomes: Family<OutcomeLabel, Counter>,
+    ) -> Self {
+        Self { limits, outcomes, by_pool: Mutex::default() }
+    }
+
+    fn count(&self, outcome: &'static str) {
+        self.outcomes.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
     /// Changes or reads the budget of a service.
@@ -73,6 +87,7 @@
     fn drop(&mut self) {
         let own = self.own;
         if *self.is_sent.get_mut() {
+            self.budgets.count("arrived");
             self.budgets.with(&self.pool, |budget| budget.record_arrival(own));
             return;
         }
@@ -80,6 +95,9 @@
         if let Some(charged) = &self.charged {
             self.quotas.refund(charged);
         }
+        if self.is_granted {
+            self.budgets.count("returned");
+        }
     }
 }
 
@@ -110,6 +128,7 @@
             pool: pool.clone(),
             own: source.own(),
             charged: None,
+            is_granted: false,
             is_sent: AtomicBool::new(false),
         };
         let outcome = match source {
@@ -122,8 +141,9 @@
             }
             RetrySource::Denied => None,
         };
-        self.metrics.count_retry(outcome.unwrap_or("denied"));
-        outcome.map(|_| Arc::new(permit))
+        self.retries.count(outcome.unwrap_or("denied"));
+        permit.is_granted = outcome.is_some();
+        permit.is_granted.then(|| Arc::new(permit))
     }
 
     /// Charges a retry, or the rest of it, to the bucket that all entries share; returns
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -393,6 +393,7 @@
     fn drop(&mut self) {
         if let Some(context) = &mut self.context {
             context.count_unused_successors();
+            self.gateway.count_left_caller(context);
             self.gateway.record_abandoned_run(context);
             self.gateway.record_outcome(context, "caller_left");
         }
