Replay retries after losses of all beside a budget that knows all; simplify the signs of life

In the two seconds and in the window after a loss of all, one bucket grants at least half of what a budget grants that knows all requests and arrivals; losses of all every 0.7 to 5 s exceed no window.

--- a/crates/bilberry-core/src/host_life.rs
+++ b/crates/bilberry-core/src/host_life.rs
@@ -65,9 +65,7 @@
         if self.sign_at.is_none() {
             return;
         }
-        if std::mem::take(&mut self.is_silent) {
-            self.checks = 0;
-        }
+        self.set_silent(false);
         self.sign_at = Some(now);
         self.check_at = self.check_at.max(now.plus_ms(DOUBT_AFTER_MS));
     }
@@ -87,26 +85,36 @@
         let is_late = now.ms_since(began_at) > MAX_CHECK_MS;
         match is_answered {
             true => {
-                if std::mem::take(&mut self.is_silent) {
-                    self.checks = 0;
-                }
+                self.set_silent(false);
                 self.sign_at = Some(now);
-                let interval_ms = DOUBT_AFTER_MS << self.checks.min(8);
-                self.check_at = now.plus_ms(interval_ms.min(MAX_ANSWERED_INTERVAL_MS));
-                self.checks += 1;
+                self.schedule_check(DOUBT_AFTER_MS, MAX_ANSWERED_INTERVAL_MS, now);
             }
             false if has_sign_since || is_late => {}
             false => {
-                if !std::mem::replace(&mut self.is_silent, true) {
-                    self.checks = 0;
-                }
-                let interval_ms = SILENT_INTERVAL_MS << self.checks.min(8);
-                self.check_at = now.plus_ms(interval_ms.min(MAX_SILENT_INTERVAL_MS));
-                self.checks += 1;
+                self.set_silent(true);
+                self.schedule_check(SILENT_INTERVAL_MS, MAX_SILENT_INTERVAL_MS, now);
             }
         }
     }
 
+    fn set_silent(&mut self, is_silent: bool) {
+        if std::mem::replace(&mut self.is_silent, is_silent) != is_silent {
+            self.checks = 0;
+        }
+    }
+
+    /// Schedules the next check, later after each one with the same result.
+    fn schedule_check(
+        &mut self,
+        first_interval_ms: u64,
+        max_interval_ms: u64,
+        now: UnixMs,
+    ) {
+        let interval_ms = first_interval_ms << self.checks.min(8);
+        self.check_at = now.plus_ms(interval_ms.min(max_interval_ms));
+        self.checks += 1;
+    }
+
     /// Reports whether neither the sidecar nor the engine answers.
     pub fn is_silent(&self) -> bool {
         self.is_silent
@@ -115,9 +123,9 @@
     /// Reports whether the host is silent, or its next report is overdue, or its first one has
     /// not come yet.
     pub fn is_doubtful(&self, now: UnixMs) -> bool {
-        let is_overdue = |sign_at: UnixMs| now.ms_since(sign_at) >= DOUBT_AFTER_MS;
-        let is_unheard = self.sign_at.is_some() && !self.has_reported;
-        let is_overdue = is_unheard || self.sign_at.is_some_and(is_overdue);
+        let Some(sign_at) = self.sign_at else { return false };
+        let is_overdue = now.ms_since(sign_at) >= DOUBT_AFTER_MS || !self.has_reported;
+        // An engine that answers without its sidecar is in no doubt.
         self.is_silent || self.checks == 0 && is_overdue
     }
 }
--- a/crates/bilberry-core/src/quota/isolated.rs
+++ b/crates/bilberry-core/src/quota/isolated.rs
@@ -61,8 +61,8 @@
     /// `entries` is the number of entries that share the rate. A request that is larger
     /// than what the part holds is admitted with a probability that keeps the average use
     /// within the rate; `draw` is a random number from 0 to 1. The part of an entry that
-    /// never had contact holds up to one of the initial units of the bucket, once an owner should have
-    /// been found.
+    /// never had contact holds up to one of the initial units of the bucket, from the time
+    /// on at which an owner should have been found.
     pub fn charge(
         &mut self,
         customer: &Name,
--- a/crates/bilberry-core/tests/retry_budget.rs
+++ b/crates/bilberry-core/tests/retry_budget.rs
@@ -19,6 +19,7 @@
 use retry_model::EvenParts;
 use retry_model::EvenSplit;
 use retry_model::History;
+use retry_model::Omniscient;
 use retry_model::PooledFixedPart;
 use retry_model::Standstill;
 use retry_model::replay;
@@ -183,6 +184,42 @@
     }
 }
 
+/// Guards against denying what the bound allows in the seconds after a loss of all.
+#[test]
+fn retries_are_granted_after_a_loss_of_all() {
+    for (entries, sidecars, requests_per_s) in [(5, 9, 60.0), (68, 78, 300.0)] {
+        for seed in 0..4 {
+            let faults = vec![kill(entries, sidecars, 12_000)];
+            let history =
+                History { entries, sidecars, requests_per_s, faults, ..history(seed) };
+            let pooled = replay(PooledFixedPart::new(&history), &history);
+            let most = replay(Omniscient::new(&history), &history);
+            for times in [12_500..14_500, 12_500..22_500] {
+                let granted = pooled.granted_within(times.clone());
+                let allowed = most.granted_within(times.clone());
+                assert!(granted * 2 >= allowed, "{granted} of {allowed} in {times:?}");
+            }
+        }
+    }
+}
+
+/// Guards against what buckets hold at first, where all processes are lost again and again.
+#[test]
+fn losses_of_all_in_series_add_no_retries() {
+    for gap_ms in [700, 1_000, 1_500, 2_000, 3_000, 5_000] {
+        let times = (2_000..28_000).step_by(gap_ms);
+        let faults = times.map(|at_ms| Fault::Kill {
+            entries: 5,
+            sidecars: 9,
+            at_ms,
+            down_ms: 300,
+        });
+        let history = History { faults: faults.collect(), ..history(gap_ms as u64) };
+        let pooled = replay(PooledFixedPart::new(&history), &history);
+        assert!(pooled.worst() <= 1.0, "every {gap_ms} ms: {pooled:?}");
+    }
+}
+
 /// Guards against what each of many entries takes at its start, before it meets owners.
 #[test]
 fn a_loss_of_all_in_a_large_fleet_adds_no_retries() {
@@ -273,6 +310,7 @@
             History { faults: series, max_wait_ms: 4_000, ..quiet() },
         ),
         ("a loss of all every 6 s", History { faults: all.clone(), ..quiet() }),
+        ("one loss of all", History { faults: vec![kill(5, 9, 12_000)], ..quiet() }),
         (
             "all callers at one entry, 5 requests/s",
             History { skew: 1.0, requests_per_s: 5.0, ..quiet() },
@@ -304,7 +342,8 @@
         let split = replay(EvenSplit::new(&history), &history);
         let parts = replay(EvenParts::new(&history), &history);
         let pooled = replay(PooledFixedPart::new(&history), &history);
-        let row = [split, parts, pooled]
+        let omniscient = replay(Omniscient::new(&history), &history);
+        let row = [split, parts, pooled, omniscient]
             .map(|usage| format!("{:.2} / {}", usage.worst(), usage.granted));
         println!("| {name} | {} |", row.join(" | "));
     }
--- a/crates/bilberry-core/tests/retry_model/mod.rs
+++ b/crates/bilberry-core/tests/retry_model/mod.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::collections::VecDeque;
+use std::ops::Range;
 
 use bilberry_core::BudgetLimits;
 use bilberry_core::Quota;
@@ -65,12 +66,19 @@
 #[derive(Debug, Default)]
 pub struct Usage {
     pub granted: usize,
+    granted_at: Vec<u64>,
     requests: Vec<u64>,
     arrivals: Vec<u64>,
     limits: Option<BudgetLimits>,
 }
 
 impl Usage {
+    /// Returns how many retries were granted in this time, in milliseconds since the start.
+    pub fn granted_within(&self, times: Range<u64>) -> usize {
+        let is_within = |&&at: &&u64| times.contains(&(at - START_MS));
+        self.granted_at.iter().filter(is_within).count()
+    }
+
     /// Returns the arrivals of the worst window against its bound.
     ///
     /// Requests are counted in the window, in the one before it or in the one half a window
@@ -137,6 +145,7 @@
                 for _ in 0..history.retries_per_request {
                     let Some(own) = budget.take(entry, now) else { break };
                     usage.granted += 1;
+                    usage.granted_at.push(at);
                     let wait_ms = rng.random_range(0..=history.max_wait_ms);
                     let arrives_at = delayed(history, entry, at, at + wait_ms);
                     let own_millis = (own * 1_000.0) as u64;
@@ -182,20 +191,25 @@
     kills.count()
 }
 
-/// The entries that run, and how often each was killed.
+/// The entries that run, and their starts.
 #[derive(Debug)]
 struct Starts {
     history: History,
     now: UnixMs,
+    /// How often each entry was killed, as last asked.
+    known: Vec<usize>,
 }
 
 impl Starts {
     fn new(history: &History) -> Self {
-        Self { history: history.clone(), now: UnixMs(START_MS) }
+        let known = vec![0; history.entries];
+        Self { history: history.clone(), now: UnixMs(START_MS), known }
     }
 
-    fn of(&self, entry: usize) -> usize {
-        starts_before(&self.history, entry, self.now.0)
+    /// Reports whether an entry has started again since this was last asked.
+    fn has_restarted(&mut self, entry: usize) -> bool {
+        let start = starts_before(&self.history, entry, self.now.0);
+        std::mem::replace(&mut self.known[entry], start) != start
     }
 
     fn is_up(&self, entry: usize) -> bool {
@@ -214,7 +228,7 @@
 #[derive(Debug)]
 pub struct PooledFixedPart {
     starts: Starts,
-    entries: Vec<(usize, SharedRetryBudget)>,
+    entries: Vec<SharedRetryBudget>,
     owners: Owners,
     quota: Quota,
     asked: u64,
@@ -222,7 +236,7 @@
 
 impl PooledFixedPart {
     pub fn new(history: &History) -> Self {
-        let fresh = || (0, SharedRetryBudget::new(history.limits));
+        let fresh = || SharedRetryBudget::new(history.limits);
         Self {
             starts: Starts::new(history),
             entries: (0..history.entries).map(|_| fresh()).collect(),
@@ -237,12 +251,10 @@
     }
 
     fn budget(&mut self, entry: usize) -> &mut SharedRetryBudget {
-        let start = self.starts.of(entry);
-        let (known, budget) = &mut self.entries[entry];
-        if std::mem::replace(known, start) != start {
-            *budget = SharedRetryBudget::new(self.starts.history.limits);
+        if self.starts.has_restarted(entry) {
+            self.entries[entry] = SharedRetryBudget::new(self.starts.history.limits);
         }
-        budget
+        &mut self.entries[entry]
     }
 }
 
@@ -299,7 +311,8 @@
 #[derive(Debug)]
 pub struct EvenSplit {
     starts: Starts,
-    entries: Vec<(usize, VecDeque<u64>, VecDeque<u64>)>,
+    /// The requests and the retries of each entry.
+    entries: Vec<(VecDeque<u64>, VecDeque<u64>)>,
 }
 
 impl EvenSplit {
@@ -309,10 +322,9 @@
     }
 
     fn of(&mut self, entry: usize) -> (&mut VecDeque<u64>, &mut VecDeque<u64>) {
-        let start = self.starts.of(entry);
         let from = self.starts.now.0 - self.starts.history.limits.window_ms;
-        let (known, requests, retries) = &mut self.entries[entry];
-        if std::mem::replace(known, start) != start {
+        let (requests, retries) = &mut self.entries[entry];
+        if self.starts.has_restarted(entry) {
             requests.clear();
             retries.clear();
         }
@@ -352,23 +364,24 @@
 #[derive(Debug)]
 pub struct EvenParts {
     starts: Starts,
-    entries: Vec<(usize, SharedRetryBudget, f64, u64)>,
+    /// The own part of each entry, and the level of its bucket as of a time.
+    entries: Vec<(SharedRetryBudget, f64, u64)>,
 }
 
 impl EvenParts {
     pub fn new(history: &History) -> Self {
-        let fresh = || (0, SharedRetryBudget::new(history.limits), 0.0, START_MS);
+        let fresh = || (SharedRetryBudget::new(history.limits), 0.0, START_MS);
         let entries = (0..history.entries).map(|_| fresh()).collect();
         Self { starts: Starts::new(history), entries }
     }
 
     fn of(&mut self, entry: usize) -> (&mut SharedRetryBudget, &mut f64) {
-        let start = self.starts.of(entry);
         let History { limits, entries, .. } = self.starts.history;
         let quota = limits.shared_quota().expect("there is a fixed part");
         let now = self.starts.now.0;
-        let (known, budget, level, refilled_at) = &mut self.entries[entry];
-        if std::mem::replace(known, start) != start {
+        let has_restarted = self.starts.has_restarted(entry);
+        let (budget, level, refilled_at) = &mut self.entries[entry];
+        if has_restarted {
             *budget = SharedRetryBudget::new(limits);
             *level = 0.0;
             *refilled_at = now;
@@ -414,3 +427,45 @@
         self.of(entry).0.record_arrival(own);
     }
 }
+
+/// One that knows all requests and arrivals so far, and grants what keeps the bound.
+#[derive(Debug)]
+pub struct Omniscient {
+    starts: Starts,
+    requests: VecDeque<u64>,
+    granted: VecDeque<u64>,
+}
+
+impl Omniscient {
+    pub fn new(history: &History) -> Self {
+        let (requests, granted) = Default::default();
+        Self { starts: Starts::new(history), requests, granted }
+    }
+}
+
+impl Budget for Omniscient {
+    fn advance(&mut self, now: UnixMs) {
+        self.starts.now = now;
+    }
+
+    fn is_up(&self, entry: usize) -> bool {
+        self.starts.is_up(entry)
+    }
+
+    fn count_request(&mut self, _: usize, now: UnixMs) {
+        self.requests.push_back(now.0);
+    }
+
+    fn take(&mut self, _: usize, now: UnixMs) -> Option<f64> {
+        let limits = self.starts.history.limits;
+        let from = now.0 - limits.window_ms;
+        self.granted.retain(|&at| at > from);
+        self.requests.retain(|&at| at > from);
+        let allowed = self.requests.len() as f64 * limits.ratio + limits.slack;
+        let is_left = self.granted.len() as f64 + 1.0 <= allowed;
+        is_left.then(|| {
+            self.granted.push_back(now.0);
+            0.0
+        })
+    }
+}
