--- a/tests/tests/paused_upstreams.rs
+++ b/tests/tests/paused_upstreams.rs
@@ -10,6 +10,7 @@
 use bilberry_tests::Fleet;
 use bilberry_tests::FleetConfig;
 use bilberry_tests::eventually;
+use tokio::time::Instant;
 use tokio::time::sleep;
 
 const PROMPT: &str = "Draw a mark for a tea house.";
@@ -19,6 +20,9 @@
 /// A pause longer than all attempts at a sidecar that doesn't respond.
 const SIDECAR_PAUSE: Duration = Duration::from_secs(12);
 
+/// The time in which an entry finds that a sidecar is silent.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// A pause longer than all attempts at an engine that doesn't respond.
 const ENGINE_PAUSE: Duration = Duration::from_secs(20);
 
@@ -101,3 +105,23 @@
     assert_eq!(reply.status, 200, "{reply:?}");
     assert_eq!(fleet.runs_of("k").await, 1);
 }
+
+/// Guards against requests that wait at a host that stands still, with its sidecar and engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_request_is_sent_to_a_host_that_stands_still() {
+    let fleet = fleet(2).await;
+    let first = fleet.caller(0, "anna").complete(PROMPT, TOKENS).await;
+    assert_complete(&first);
+    fleet.sidecars[0].suspend();
+    fleet.upstreams[0].suspend();
+    sleep(SILENCE_TIMEOUT).await;
+    let began = Instant::now();
+    for _ in 0..4 {
+        assert_complete(&fleet.caller(0, "anna").complete(PROMPT, TOKENS).await);
+    }
+    assert!(began.elapsed() < SIDECAR_PAUSE, "{:?}", began.elapsed());
+    fleet.upstreams[0].resume();
+    fleet.sidecars[0].resume();
+    let runs = fleet.engine_counters(0).await.runs + fleet.engine_counters(1).await.runs;
+    assert_eq!(runs, 5, "a request was sent to both");
+}
