--- a/review/standins/src/bin/review-fetches.rs
+++ b/review/standins/src/bin/review-fetches.rs
@@ -78,6 +78,7 @@
         memory_tokens: 18_000,
         slots: 48,
         checks_fences: false,
+        tells_era: false,
     };
     let state = desired_state(&ROUTES, &models, figures.memory_tokens);
     let deployment = Deployment::start(&figures, state, 0, record).await?;
--- a/review/standins/src/bin/review-strangers.rs
+++ b/review/standins/src/bin/review-strangers.rs
@@ -65,6 +65,7 @@
         memory_tokens: 112_556,
         slots: 48,
         checks_fences: false,
+        tells_era: false,
     };
     let state = desired_state(&ROUTES, &models, figures.memory_tokens);
     let mut deployment = Deployment::start(&figures, state, 0, record).await?;
--- a/review/standins/src/config.rs
+++ b/review/standins/src/config.rs
@@ -18,8 +18,19 @@
     pub target_ms: u64,
 }
 
-/// Returns a desired state with these routes to the servers.
+/// Returns the first desired state, with these routes to the servers.
 pub fn desired_state(routes: &[StreamRoute], models: &[String], memory: u64) -> Value {
+    desired_state_with(7, routes, models, memory, &["key-b"])
+}
+
+/// Returns a desired state, in which the second tenant has these keys.
+pub fn desired_state_with(
+    version: u64,
+    routes: &[StreamRoute],
+    models: &[String],
+    memory: u64,
+    second_keys: &[&str],
+) -> Value {
     let route = |route: &StreamRoute| {
         json!({
             "Name": route.name, "Host": "api.example",
@@ -32,7 +43,7 @@
     };
     let models: Vec<Value> = models.iter().map(|model| json!({"Name": model})).collect();
     json!({
-        "Version": 7,
+        "Version": version,
         "Routes": routes.iter().map(route).collect::<Vec<_>>(),
         "Services": [{
             "Name": "lm-pool", "HealthPath": "/health", "MaxConns": 300,
@@ -42,7 +53,7 @@
             "HeaderTimeoutMs": 3_000, "IdleTimeoutMs": 15_000},
         "Tenants": [
             {"Name": "tenant-a", "ApiKeys": ["key-a"], "Isolated": false},
-            {"Name": "tenant-b", "ApiKeys": ["key-b"], "Isolated": false},
+            {"Name": "tenant-b", "ApiKeys": second_keys, "Isolated": false},
         ],
     })
 }
--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -104,6 +104,8 @@
     pub slots: usize,
     /// Whether the servers check fencing tokens.
     pub checks_fences: bool,
+    /// Whether the store tells how often it has come back from an older copy.
+    pub tells_era: bool,
 }
 
 impl Deployment {
@@ -127,7 +129,9 @@
         let store_address = SocketAddr::from((ip(1), PORT));
         let (store, served) =
             ObjectStoreStandin::start(store_address).await.map_err(|e| e.to_string())?;
-        store.hide_era();
+        if !figures.tells_era {
+            store.hide_era();
+        }
         let mut deployment = Self {
             store,
             engines: Vec::new(),
@@ -284,6 +288,22 @@
         Ok(())
     }
 
+    /// Kills one entry, and starts it again after `down`.
+    pub async fn kill_entry(
+        &mut self,
+        index: usize,
+        down: Duration,
+    ) -> Result<(), String> {
+        let process = &mut self.entries[index];
+        let _ = process.child.kill();
+        let _ = process.child.wait();
+        sleep(down).await;
+        let process = &self.entries[index];
+        let started = self.start_program(&process.settings, &process.log)?;
+        self.entries[index].child = started;
+        Ok(())
+    }
+
     async fn wait_until_ready(&self, sidecars: usize) -> Result<(), String> {
         let begun = tokio::time::Instant::now();
         for entry in &self.entries {
