Review: show the stale parts with the memory of the sheet

They now have the sheet's 112,556, and the checks its prompts and answers; the other streams are longer (800 tokens), so that servers run out of memory. 28 versions, 3 s apart.

--- a/review/standins/src/bin/review-fetches.rs
+++ b/review/standins/src/bin/review-fetches.rs
@@ -20,10 +20,10 @@
 const MODEL: &str = "model-a";
 
 /// The time between two versions.
-const NAMED_EVERY: Duration = Duration::from_millis(4_000);
+const NAMED_EVERY: Duration = Duration::from_millis(3_000);
 
 /// How often versions are named.
-const VERSIONS: u64 = 10;
+const VERSIONS: u64 = 28;
 
 /// The time between two requests.
 const REQUEST_EVERY: Duration = Duration::from_millis(13);
@@ -75,7 +75,7 @@
         engines: 9,
         entries: 2,
         models: models.clone(),
-        memory_tokens: 18_000,
+        memory_tokens: 112_556,
         slots: 48,
         checks_fences: false,
         tells_era: false,
@@ -99,15 +99,15 @@
         let random = draw >> 33;
         let subject = random % SUBJECTS;
         let is_digest = (random / SUBJECTS) % 4 == 0;
-        let (path, own, out) = match is_digest {
-            true => ("/digests/x", 300, 300),
-            false => ("/checks/x", 900, 8),
+        let (path, output) = match is_digest {
+            true => ("/digests/x", 800),
+            false => ("/checks/x", 13),
         };
         number += 1;
         let mut caller = Caller::new("POST", path, &format!("r{number}")).with(&format!(
-            "X-Model: {MODEL}\r\nX-Token-Count: {},{out}\r\n\
-             X-Prompt-Prefix: a{}:500,b{subject}:2500,c{number}:{own}\r\n",
-            3_000 + own,
+            "X-Model: {MODEL}\r\nX-Token-Count: {},{output}\r\n\
+             X-Prompt-Prefix: a{}:1300,b{subject}:5000,c{number}:2890\r\n",
+            1_300 + 5_000 + 2_890,
             subject % 4,
         ));
         caller.headers =
