--- a/review/standins/src/record.rs
+++ b/review/standins/src/record.rs
@@ -30,6 +30,6 @@
     pub fn line(&self, text: &str) {
         let at_s = self.now_ms() as f64 / 1_000.0;
         let mut file = self.file.lock().unwrap();
-        let _ = writeln!(file, "{at_s:9.3} s  {text}");
+        let _ = writeln!(file, "{at_s:9.3} s  {}", text.trim_end());
     }
 }
