Release prompt parts before a load of weights, so that none is used for other weights

Cause: a run that goes on over a load, is preempted and prefilled again puts parts of the new weights under the salt of the old version. Another engine fetches them when its request leaves the queue, possibly seconds after the entry chose the source, or finds them in a prompt store that the run saves to.

Evidence: each stale part in the record has its source's "is read in again" before it.

Change: an engine's parts are used by others only in a term that its sidecar has open. Before a load the sidecar ends the term, and entries release it once their requests have begun (fetches) or ended (saves). Runs are retained only if all entries released; otherwise they finish first. Where a host has no sidecar, orders let runs finish.

An entry also took parts for written to a store that it had not told any engine to save; such parts are no longer recorded.

--- a/crates/bilberry-gateway/src/dispatch.rs
+++ b/crates/bilberry-gateway/src/dispatch.rs
@@ -1,10 +1,12 @@
 //! Builds the request for an upstream, including its use of cached prompts.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bilberry_core::Clock;
 use bilberry_core::PeerCopy;
 use bilberry_core::Source;
+use bilberry_core::UnixMs;
 use bilberry_core::choose_source;
 use bilberry_core::should_save;
 use bytes::Bytes;
@@ -20,13 +22,18 @@
 use crate::PromptStore;
 use crate::RequestContext;
 use crate::Reservation;
+use crate::Upstream;
+use crate::part_use::EngineParts;
+
+/// The longest expected answer of a request that writes parts to a prompt store.
+const MAX_SAVING_ANSWER_MS: u64 = 1_000;
 
 impl<D: Dialect, C: Clock> Gateway<D, C> {
     /// Builds the request for an upstream.
     pub(crate) fn request(
         &self,
         context: &mut RequestContext,
-        reservation: &Reservation,
+        reservation: &mut Reservation,
         last_event: Option<u64>,
         resume_from: Option<KvCacheCopy>,
     ) -> Request<Full<Bytes>> {
@@ -58,7 +65,7 @@
     fn set_cache_fields(
         &self,
         context: &mut RequestContext,
-        reservation: &Reservation,
+        reservation: &mut Reservation,
         weights: u64,
         dispatch: &mut Dispatch,
     ) {
@@ -70,13 +77,20 @@
             let supply =
                 self.prompt_supply(context, reservation, &keys, store.as_deref());
             dispatch.fetch_from = supply.source;
+            let source_use = supply.peer.map(|peer| peer.begin(context.deadline));
+            context.fetch_from = supply.source;
             context.supplied_tokens = supply.tokens;
             let own_tokens = context.call.prompt_tokens.saturating_sub(shared_tokens);
+            let own_parts = self.savable_parts(context, reservation, weights);
+            let store = store.filter(|_| own_parts.is_some());
             dispatch.save_to = store.and_then(|store| {
                 let missing_tokens =
                     shared_tokens - keys.stored_tokens(&store.contents, now);
                 should_save(missing_tokens, own_tokens).then_some(store.terms.address)
             });
+            let save_use = own_parts.filter(|_| dispatch.save_to.is_some());
+            let save_use = save_use.map(|parts| parts.begin(context.deadline));
+            reservation.set_part_uses(source_use, save_use);
             if dispatch.resume_from.is_none() {
                 self.begin_prefill(context, reservation, supply.tokens);
             }
@@ -98,6 +112,9 @@
         let own_tokens = keys.cached_tokens(&reservation.upstream, now);
         let peers = self.upstreams.of(&context.pool.name);
         let others = peers.iter().filter(|peer| peer.id != reservation.upstream.id);
+        let model = context.call.model.as_deref().unwrap_or_default();
+        let weights = context.weights.unwrap_or_default();
+        let others = others.filter(|peer| self.may_use_parts(peer, model, weights, now));
         let others: Vec<_> = others.collect();
         let copies = others.iter().map(|peer| PeerCopy {
             cached_tokens: keys.cached_tokens(peer, now),
@@ -117,16 +134,57 @@
             }
             chosen => chosen,
         };
-        let (source, tokens) = match chosen {
+        let (source, peer, tokens) = match chosen {
             Some(Source::Peer(index)) => {
-                (Some(others[index].address), copies[index].cached_tokens)
+                let address = others[index].address;
+                let parts = self.part_uses.of(address);
+                (Some(address), Some(parts), copies[index].cached_tokens)
             }
             Some(Source::Store) => {
-                (store.map(|store| store.terms.address), kept.unwrap_or_default())
+                let address = store.map(|store| store.terms.address);
+                (address, None, kept.unwrap_or_default())
             }
-            None => (None, 0),
+            None => (None, None, 0),
         };
-        PromptSupply { source, tokens: tokens.max(own_tokens) }
+        PromptSupply { source, peer, tokens: tokens.max(own_tokens) }
+    }
+
+    /// Reports whether parts that an upstream made under a version may be used by others.
+    ///
+    /// An engine whose host has no sidecar lets its runs finish before it loads weights.
+    fn may_use_parts(
+        &self,
+        upstream: &Upstream,
+        model: &str,
+        weights: u64,
+        now: UnixMs,
+    ) -> bool {
+        let address = upstream.address;
+        self.sidecars.lacks_sidecar(address.ip(), 0, now)
+            || self.part_uses.of(address).may_use(model, weights, now)
+    }
+
+    /// Returns the parts of an upstream if a request may write them to a prompt store.
+    ///
+    /// Its load of weights waits for the end of the request, which must therefore be near.
+    fn savable_parts(
+        &self,
+        context: &RequestContext,
+        reservation: &Reservation,
+        weights: u64,
+    ) -> Option<Arc<EngineParts>> {
+        let token_us = self.speed.token_us(&context.pool.name);
+        let answer_ms = context.call.output_tokens * token_us / 1_000;
+        let parts = self.part_uses.of(reservation.upstream.address);
+        let model = context.call.model.as_deref().unwrap_or_default();
+        let may_save = answer_ms <= MAX_SAVING_ANSWER_MS
+            && self.may_use_parts(
+                &reservation.upstream,
+                model,
+                weights,
+                self.clock.now(),
+            );
+        may_save.then_some(parts)
     }
 
     /// Returns how many shared tokens an upstream holds or may fetch.
@@ -161,7 +219,9 @@
         let now = self.clock.now();
         let keys: Vec<u64> = context.keys(weights).keys().collect();
         keys.iter().for_each(|&key| reservation.upstream.expect_part(key, now));
-        self.stores.record_prefilled(&reservation.upstream.id, &keys, now);
+        if reservation.saves_parts() {
+            self.stores.record_prefilled(&reservation.upstream.id, &keys, now);
+        }
     }
 }
 
@@ -169,6 +229,8 @@
 struct PromptSupply {
     /// The address from which it may fetch missing parts.
     source: Option<SocketAddr>,
+    /// The parts of the source, if it is an engine.
+    peer: Option<Arc<EngineParts>>,
     /// The number of shared tokens that it holds or that the source should hold.
     tokens: u64,
 }
--- a/crates/bilberry-gateway/src/feeds.rs
+++ b/crates/bilberry-gateway/src/feeds.rs
@@ -18,6 +18,7 @@
 use bilberry_wire::QuotaRefund;
 use bilberry_wire::QuotaRequest;
 use bilberry_wire::QuotaResponse;
+use bilberry_wire::SharingRelease;
 use bilberry_wire::WatchResponse;
 use bilberry_wire::WireError;
 use futures_util::SinkExt;
@@ -193,6 +194,9 @@
     let mut deadline = Instant::now() + IDLE_TIMEOUT;
     let mut repeat_at = Instant::now();
     let mut current: Option<Arc<Upstream>> = None;
+    let parts = gateway.upstreams.get(id).map(|it| gateway.part_uses.of(it.address));
+    let Some(parts) = parts else { return Ok(()) };
+    let mut released_term = None;
     // Crash reports are replayed, as a sidecar that has restarted knows of none.
     for notice in gateway.crashes.notices(gateway.clock.now()) {
         let body = Some(Body::CrashNotice(notice));
@@ -225,7 +229,14 @@
                 last_notice = Some(notice);
             }
         }
+        let term = parts.released_term(gateway.clock.now()).unwrap_or_default();
+        if released_term.replace(term) != Some(term) {
+            let process = gateway.part_uses.process;
+            let body = Some(Body::SharingRelease(SharingRelease { term, process }));
+            framed.send(Frame { body, ..Frame::default() }).await?;
+        }
         let frame = tokio::select! {
+            _ = parts.ended.notified() => continue,
             frame = timeout_at(deadline, framed.next()) => frame.map_err(timed_out)?,
             _ = summaries.changed() => {
                 // `changed` marks the value as seen, but the notice is yet to be built.
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -232,13 +232,13 @@
     async fn send(
         self: &Arc<Self>,
         context: &mut RequestContext,
-        reservation: Reservation,
+        mut reservation: Reservation,
     ) -> SendOutcome {
         let upstream = reservation.upstream.clone();
         context.tried.push(upstream.clone());
         context.backup = self.choose_backup(context, &upstream);
         let last_event = context.call.last_event;
-        let request = self.request(context, &reservation, last_event, None);
+        let request = self.request(context, &mut reservation, last_event, None);
         // An at-most-once call gets a new connection. On a reused one, a response to
         // another call, or a close during the send, would leave it unknown whether the
         // call ran.
@@ -249,17 +249,20 @@
             Err(_) => {
                 upstream.record_failure(self.clock.now());
                 self.connections.close_idle_to(upstream.address);
+                reservation.settle_part_uses();
                 self.return_permit(context);
                 return SendOutcome::NotRun(NOT_CONNECTED);
             }
         };
         let is_continued = context.start.required() != RequiredSoftware::Any;
         if is_continued && !self.is_known_incarnation(&mut connection, &upstream).await {
+            reservation.settle_part_uses();
             self.return_permit(context);
             return SendOutcome::NotRun(OTHER_START);
         }
         // The causes of crashes may have become known since the upstream was chosen.
         if self.check_quarantine(context).is_err() {
+            reservation.settle_part_uses();
             self.return_permit(context);
             return SendOutcome::NotRun(QUARANTINED);
         }
@@ -331,6 +334,7 @@
             Err(SendError::NotSent(_)) => {
                 context.set_retry_sent(false);
                 upstream.record_failure(self.clock.now());
+                reservation.settle_part_uses();
                 self.return_permit(context);
                 SendOutcome::NotRun(NOT_CONNECTED)
             }
@@ -368,16 +372,20 @@
     pub(crate) async fn send_to_backup(
         self: &Arc<Self>,
         context: &mut RequestContext,
-        reservation: Reservation,
+        mut reservation: Reservation,
         last_event: Option<u64>,
         copy: KvCacheCopy,
     ) -> Result<UpstreamResponse, CopySendError> {
         let upstream = reservation.upstream.clone();
         context.tried.push(upstream.clone());
-        let request = self.request(context, &reservation, last_event, Some(copy));
+        let request = self.request(context, &mut reservation, last_event, Some(copy));
         let connected = self.connections.get(upstream.address, true).await;
-        let mut connection = connected.map_err(|_| CopySendError::NotRun)?;
+        let Ok(mut connection) = connected else {
+            reservation.settle_part_uses();
+            return Err(CopySendError::NotRun);
+        };
         if self.is_suspect(context) {
+            reservation.settle_part_uses();
             context.add_detail("the request may crash the backup engine as well");
             return Err(CopySendError::MayHaveRun);
         }
@@ -397,7 +405,10 @@
         context.retry = None;
         let response = match sent.map_err(|_| CopySendError::MayHaveRun)? {
             Ok(response) => response,
-            Err(SendError::NotSent(_)) => return Err(CopySendError::NotRun),
+            Err(SendError::NotSent(_)) => {
+                reservation.settle_part_uses();
+                return Err(CopySendError::NotRun);
+            }
             Err(SendError::NoResponse(_)) => {
                 self.record_interrupted_run(context, &upstream);
                 return Err(CopySendError::MayHaveRun);
@@ -417,7 +428,7 @@
         context: &RequestContext,
         response: Response<Incoming>,
         connection: Connection,
-        reservation: Reservation,
+        mut reservation: Reservation,
     ) -> SendOutcome {
         let verdict = self.dialect.classify_response(
             response.status(),
@@ -436,9 +447,9 @@
         match verdict {
             ResponseClass::Valid => {
                 reservation.upstream.record_answer(self.clock.now());
-                let mut reservation = reservation;
                 if !response.status().is_success() {
                     reservation.end_admission();
+                    reservation.settle_part_uses();
                 }
                 SendOutcome::Responded(Box::new(UpstreamResponse {
                     http: response,
@@ -448,14 +459,17 @@
                 }))
             }
             ResponseClass::Busy => {
+                reservation.settle_part_uses();
                 reservation.upstream.record_busy(self.clock.now(), BUSY_PAUSE_MS);
                 SendOutcome::NotRun("busy")
             }
             ResponseClass::OtherWeights => {
+                reservation.settle_part_uses();
                 reservation.upstream.record_busy(self.clock.now(), BUSY_PAUSE_MS);
                 SendOutcome::NotRun(OTHER_WEIGHTS)
             }
             ResponseClass::Replaced => {
+                reservation.settle_part_uses();
                 reservation.upstream.leave();
                 log::info!(
                     target: "upstream",
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -43,6 +43,7 @@
 use crate::held_back::WaitingRequests;
 use crate::known_crashes::KnownCrashes;
 use crate::metrics::ServerLabels;
+use crate::part_use::PartUseRegistry;
 use crate::pool_summary::PoolSummaries;
 use crate::quota_client::QuotaClient;
 use crate::retry_permit::RetryBudgets;
@@ -103,6 +104,7 @@
     pub(crate) origins: OriginClient,
     software_histories: Mutex<HashMap<Name, SoftwareHistory>>,
     pub(crate) waiting: WaitingRequests,
+    pub(crate) part_uses: PartUseRegistry,
     pub(crate) speed: SpeedEstimates,
     pub(crate) shared_hosts: SharedHosts,
     pub(crate) readings: Mutex<PrefillsInProgress>,
@@ -143,6 +145,7 @@
             overload: Mutex::default(),
             settings,
             waiting: WaitingRequests::default(),
+            part_uses: PartUseRegistry::new(),
             speed: SpeedEstimates::default(),
             shared_hosts: SharedHosts::default(),
             readings: Mutex::default(),
@@ -361,6 +364,9 @@
     pub fn apply_sidecar_state(&self, id: &Name, state: UpstreamState) {
         let now = self.clock.now();
         self.entries.lock().unwrap().record_report(now, state.entries as usize);
+        if let Some(upstream) = self.upstreams.get(id) {
+            self.part_uses.of(upstream.address).record(&state, now);
+        }
         let ended = self.upstreams.apply_state(id, state, now);
         ended.iter().for_each(|ended| self.on_incarnation_end(ended));
     }
--- a/crates/bilberry-gateway/src/lib.rs
+++ b/crates/bilberry-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod listing;
 mod metrics;
 mod missing_weights;
+mod part_use;
 mod placement;
 mod plain_response;
 mod policy;
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -158,6 +158,7 @@
                     continue;
                 }
                 RelayEnd::Finished(BodyEnd::Complete) => {
+                    response.reservation.settle_part_uses();
                     self.keep_connection(response);
                     return BodyEnd::Complete;
                 }
@@ -358,6 +359,8 @@
                 self.record_sound_parts(context);
             }
             let Some(events) = splitter.push(&bytes) else { continue };
+                }
+            };
             self.record_origin(context, &upstream);
             if pieces.send(BodyChunk::Data(events)).await.is_err() {
                 return RelayEnd::Finished(BodyEnd::CallerLeft);
--- a/crates/bilberry-gateway/src/request_context.rs
+++ b/crates/bilberry-gateway/src/request_context.rs
@@ -1,5 +1,6 @@
 //! The state of a request while the entry handles it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bilberry_core::CrashCause;
@@ -118,6 +119,8 @@
     /// When the caller should return, if the sidecars of engines rejected the request, in
     /// milliseconds.
     pub admission_retry_ms: Option<u64>,
+    /// Where the upstream of the last send fetches from.
+    pub(crate) fetch_from: Option<SocketAddr>,
     /// The shared tokens that the upstream of the last send held or could fetch.
     pub supplied_tokens: u64,
     /// The time from the arrival of the request to the first byte of the response.
--- a/crates/bilberry-gateway/src/request_log.rs
+++ b/crates/bilberry-gateway/src/request_log.rs
@@ -54,6 +54,7 @@
     let softwares = context.tried.iter().map(|tried| tried.software());
     let softwares: Vec<&str> =
         softwares.map(|it| it.map_or("", |it| it.as_str())).collect();
+    let fetch_from = context.fetch_from.map_or_else(String::new, |it| it.to_string());
     log::info!(
         target: "request",
         request = context.call.attempt.as_str(),
@@ -74,6 +75,7 @@
         waited_for_parts_ms = context.waited_for_parts_ms,
         admission_wait_ms = context.admission_wait_ms,
         shared_tokens = context.call.shared_tokens(),
+        fetch_from = fetch_from.as_str(),
         supplied_tokens = context.supplied_tokens,
         predicted_first_ms = context.predicted.map_or(0, |times| times.first_ms),
         predicted_gap_ms = context.predicted.map_or(0, |times| times.gap_ms),
--- a/crates/bilberry-gateway/src/upstream/reservation.rs
+++ b/crates/bilberry-gateway/src/upstream/reservation.rs
@@ -6,6 +6,7 @@
 
 use crate::AdmissionGuard;
 use crate::Upstream;
+use crate::part_use::PartUse;
 
 /// A request's reservation of a slot and memory at an upstream, released on drop.
 #[derive(Debug)]
@@ -17,6 +18,10 @@
     pending_tokens_ahead: u64,
     is_probe: bool,
     admission: Option<AdmissionGuard>,
+    /// The use of another engine's parts, until they are fetched.
+    source_use: Option<PartUse>,
+    /// The use of the upstream's parts for a prompt store, until the run ends.
+    save_use: Option<PartUse>,
     freed: Arc<Notify>,
 }
 
@@ -47,6 +52,8 @@
             pending_tokens_ahead,
             is_probe,
             admission: None,
+            source_use: None,
+            save_use: None,
             freed,
         }
     }
@@ -57,6 +64,28 @@
         self
     }
 
+    /// Adds the uses of prompt parts by the request.
+    pub(crate) fn set_part_uses(
+        &mut self,
+        source: Option<PartUse>,
+        save: Option<PartUse>,
+    ) {
+        self.settle_part_uses();
+        self.source_use = source;
+        self.save_use = save;
+    }
+
+    /// Reports whether the request writes its parts to a prompt store.
+    pub(crate) fn saves_parts(&self) -> bool {
+        self.save_use.is_some()
+    }
+
+    /// Ends the uses of prompt parts, as the request does not run, or has run to its end.
+    pub(crate) fn settle_part_uses(&mut self) {
+        self.source_use.take().into_iter().for_each(PartUse::settle);
+        self.save_use.take().into_iter().for_each(PartUse::settle);
+    }
+
     /// Returns how many tokens of this entry's earlier requests its upstream still had to
     /// prefill when the reservation was made.
     pub fn pending_tokens_ahead(&self) -> u64 {
@@ -66,6 +95,7 @@
     /// Records that the prompt has been prefilled.
     pub fn mark_prefilled(&mut self) {
         self.release_pending();
+        self.source_use.take().into_iter().for_each(PartUse::settle);
         if let Some(admission) = &mut self.admission {
             admission.mark_prefilled();
         }
--- a/crates/bilberry-steward/src/engine_controller.rs
+++ b/crates/bilberry-steward/src/engine_controller.rs
@@ -6,6 +6,7 @@
 use bilberry_core::Clock;
 use bilberry_core::Incarnation;
 use bilberry_core::IncarnationOrder;
+use bilberry_core::LoadPermission;
 use bilberry_core::PaceMeter;
 use bilberry_core::Rollout;
 use bilberry_core::UnixMs;
@@ -25,6 +26,7 @@
 use crate::LoadOrder;
 use crate::OrderGate;
 use crate::OrderReply;
+use crate::PartSharing;
 use crate::RunInterest;
 use crate::RunTracker;
 use crate::SidecarMetrics;
@@ -45,6 +47,9 @@
 /// the new weights, and what they generate from then on is of no value.
 const DRAIN_MS: u64 = 250;
 
+/// How long before a load entries stop using the engine's prompt parts.
+const SHARING_MARGIN_MS: u64 = 400;
+
 /// The delay after an order that the engine accepted or that had no effect.
 const ORDER_DELAY_MS: u64 = 150;
 
@@ -67,6 +72,7 @@
     order_gate: Arc<OrderGate>,
     run_interest: RunInterest,
     runs: Arc<RunTracker>,
+    sharing: Arc<PartSharing<C>>,
     state: watch::Sender<EngineState>,
     /// Counters and gauges.
     pub metrics: SidecarMetrics,
@@ -93,6 +99,8 @@
     /// The most recently logged plan.
     plan: Option<LoadPlan>,
     next_order_at: UnixMs,
+    /// When the engine's parts were released for the next load.
+    released_at: Option<UnixMs>,
     /// Whether the stall of the engine has been logged.
     is_stalled: bool,
     pace: PaceMeter,
@@ -107,6 +115,7 @@
             accepted_order: None,
             plan: None,
             next_order_at: UnixMs(0),
+            released_at: None,
             is_stalled: false,
             pace: PaceMeter::default(),
         }
@@ -140,8 +149,10 @@
         newest: Arc<LatestWeights>,
         cache: Arc<CacheView>,
     ) -> Self {
+        let sharing = PartSharing::new(clock.clone(), outdated_weights_max_ms);
         Self {
             engine,
+            sharing: Arc::new(sharing),
             clock,
             holder,
             outdated_weights_max_ms,
@@ -170,6 +181,11 @@
         Self { runs, ..self }
     }
 
+    /// Returns the sharing of the engine's prompt parts.
+    pub fn sharing(&self) -> Arc<PartSharing<C>> {
+        self.sharing.clone()
+    }
+
     /// Subscribes to the engine's state.
     pub fn state(&self) -> watch::Receiver<EngineState> {
         self.state.subscribe()
@@ -251,6 +267,15 @@
         let now = self.clock.now();
         let pace = self.measure_pace(report, state, now);
         let next_load = self.next_load(report, state);
+        let sharing = self.sharing.set_open(self.may_share(report, next_load.as_ref()));
+        let planned_start = next_load.as_ref().map(|load| load.starts_at);
+        let next_load = match next_load {
+            Some(load) => Some(self.await_release(load, state, now)),
+            None => {
+                state.released_at = None;
+                None
+            }
+        };
         self.record_plan(report, next_load.as_ref(), state, now);
         let loading =
             report.busy || next_load.as_ref().is_some_and(|load| load.is_imminent(now));
@@ -261,7 +286,7 @@
         self.metrics.queued.set(report.queued as i64);
         self.metrics.used_tokens.set(report.used_tokens as i64);
         self.publish(|published| {
-            published.loads_at = next_load.as_ref().map(|load| load.starts_at);
+            published.loads_at = planned_start;
             let upstream = &mut published.upstream;
             upstream.up = true;
             upstream.cache_epoch = self.cache.epoch();
@@ -276,6 +301,7 @@
             upstream.total_tokens = report.total_tokens;
             upstream.stalled = stalled;
             upstream.pace = pace;
+            upstream.sharing = Some(sharing.into());
         });
         if let Some(incarnation) = state.incarnation {
             self.cache.observe_incarnation(incarnation);
@@ -283,7 +309,7 @@
         self.record_completed_load(report, state, now);
         let queued = report.queued;
         let is_due = |load: &NextLoad| {
-            load.starts_at <= now && may_start_load(load.planned_at, queued, now)
+            load.starts_at <= now && may_start_load(load.drains_from, queued, now)
         };
         if let Some(load) = next_load.filter(|load| !report.busy && is_due(load)) {
             self.send_order(report, &load, state).await;
@@ -342,11 +368,62 @@
             let planned_at = state.rollout.starts_at(since, self.newest.rollout_place());
             let starts_at = planned_at.max(state.next_order_at);
             let starts_at = starts_at.max(self.order_gate.allowed_at());
-            Some(NextLoad { weights, planned_at, starts_at, outdated_since: since })
+            Some(NextLoad {
+                weights,
+                planned_at,
+                drains_from: planned_at,
+                starts_at,
+                outdated_since: since,
+                mode: SwapMode::Finish,
+            })
         };
         report.models.iter().find_map(load_for)
     }
 
+    /// Reports whether entries may use the engine's parts until the next report.
+    ///
+    /// Not before the newest weights are known: an order of an earlier process may still
+    /// be carried out.
+    fn may_share(&self, report: &EngineReport, next_load: Option<&NextLoad>) -> bool {
+        let now = self.clock.now();
+        let is_near = |load: &NextLoad| load.planned_at <= now.plus_ms(SHARING_MARGIN_MS);
+        let is_known = |served: &ModelVersion| self.newest.knows(&served.model);
+        !report.busy
+            && !next_load.is_some_and(is_near)
+            && report.models.iter().all(is_known)
+    }
+
+    /// Delays a load until its engine's parts are released, and sets how it may begin.
+    fn await_release(
+        &self,
+        load: NextLoad,
+        state: &mut PollState,
+        now: UnixMs,
+    ) -> NextLoad {
+        let is_near = load.planned_at <= now.plus_ms(SHARING_MARGIN_MS);
+        let permission = match self.sharing.permission() {
+            permission if is_near => permission,
+            _ => LoadPermission::Wait,
+        };
+        if permission == LoadPermission::Wait {
+            state.released_at = None;
+            let starts_at = load.starts_at.max(now.plus_ms(DRAIN_MS + 1));
+            return NextLoad { starts_at, ..load };
+        }
+        // The engine serves until its parts are released, and drains only then.
+        let released_at = *state.released_at.get_or_insert(now);
+        let mode = match permission {
+            LoadPermission::Retain => SwapMode::Continue,
+            _ => SwapMode::Finish,
+        };
+        NextLoad {
+            drains_from: load.planned_at.max(released_at),
+            starts_at: load.starts_at.max(released_at),
+            mode,
+            ..load
+        }
+    }
+
     /// Logs and counts a load that was planned or rescheduled.
     fn record_plan(
         &self,
@@ -405,7 +482,7 @@
         let now = self.clock.now();
         let order = LoadOrder {
             weights: load.weights.clone(),
-            mode: SwapMode::Continue,
+            mode: load.mode,
             holder: self.holder.clone(),
             // Versions only increase, also across restarts of this process, which
             // persists no state. The fencing token therefore never decreases.
@@ -432,6 +509,7 @@
             expected = report.orders,
             running = report.running,
             queued = report.queued,
+            retains = load.mode == SwapMode::Continue,
             lacking_ms = now.ms_since(load.outdated_since);
             "order {outcome}"
         );
@@ -460,10 +538,14 @@
     weights: ModelVersion,
     /// When the rollout schedules the load.
     planned_at: UnixMs,
+    /// When the engine starts to drain its queue for the load.
+    drains_from: UnixMs,
     /// `planned_at`, or later if no order may be sent yet.
     starts_at: UnixMs,
     /// When the first version that the engine lacks was announced.
     outdated_since: UnixMs,
+    /// How the engine handles its runs.
+    mode: SwapMode,
 }
 
 impl NextLoad {
--- a/crates/bilberry-steward/src/feed.rs
+++ b/crates/bilberry-steward/src/feed.rs
@@ -40,6 +40,7 @@
 use crate::LatestWeights;
 use crate::LimitRelay;
 use crate::OriginOwner;
+use crate::PartSharing;
 use crate::PromptStores;
 use crate::QuotaOwner;
 use crate::RunInterest;
@@ -102,6 +103,8 @@
     pub run_interest: RunInterest,
     /// The progress of the engine's runs.
     pub runs: Arc<RunTracker>,
+    /// The sharing of the engine's prompt parts.
+    pub sharing: Arc<PartSharing<C>>,
     /// The clock for load times and reports.
     pub clock: C,
 }
@@ -173,6 +176,7 @@
     let mut presence = EntryPresence::new(feed.quotas.clone());
     let mut interest = feed.run_interest.connect();
     let mut admissions = feed.admissions.connect();
+    let sharing = feed.sharing.connect();
     let mut asks_admissions = false;
     let mut received_at = Instant::now();
     let (known_crashes, mut crashes) = feed.crashes.subscribe(feed.clock.now());
@@ -306,6 +310,10 @@
                             framed.send(Frame { call, body, ..Frame::default() }).await?;
                             continue;
                         }
+                        Some(Body::SharingRelease(release)) => {
+                            sharing.record(&release);
+                            continue;
+                        }
                         Some(Body::LimitNotice(notice)) => {
                             feed.limits.merge(&notice, feed.clock.now());
                             continue;
@@ -444,7 +452,8 @@
         let EngineState { upstream, loads_at } = state;
         let incarnation = (upstream.cache_epoch, upstream.started_at_ms);
         let up = (upstream.up, upstream.stalled);
-        (up, upstream.loading, upstream.leaving, incarnation, *loads_at)
+        let loads = (upstream.loading, *loads_at, upstream.sharing);
+        (up, upstream.leaving, incarnation, loads)
     };
     urgent(before) != urgent(now) || before.upstream.models != now.upstream.models
 }
--- a/crates/bilberry-steward/src/latest_weights.rs
+++ b/crates/bilberry-steward/src/latest_weights.rs
@@ -42,6 +42,11 @@
         self.known.lock().unwrap().place = Some(RolloutPlace { position, servers, down });
     }
 
+    /// Reports whether any version of a model's weights is known.
+    pub fn knows(&self, model: &str) -> bool {
+        self.known.lock().unwrap().weights.contains_key(model)
+    }
+
     /// Returns the version that an engine with these weights should load, and the time
     /// since which its weights have been outdated.
     pub fn missing_version(&self, model: &str, version: u64) -> Option<(u64, UnixMs)> {
--- /dev/null
+++ b/crates/bilberry-steward/src/part_sharing.rs
@@ -0,0 +1,79 @@
+//! The sharing of the engine's prompt parts with entries.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use bilberry_core::Clock;
+use bilberry_core::LoadPermission;
+use bilberry_core::SharingGate;
+use bilberry_core::SharingState;
+use bilberry_wire::SharingRelease;
+
+/// The time that entries have to release the parts, as a divisor of the bound on older
+/// weights.
+const WAIT_DIVISOR: u64 = 4;
+
+/// The same time if older weights are not bounded.
+const DEFAULT_WAIT_MS: u64 = 2_000;
+
+/// Tracks which entries may use the parts of the engine.
+#[derive(Debug)]
+pub struct PartSharing<C> {
+    gate: Mutex<SharingGate>,
+    clock: C,
+}
+
+/// The connection of one entry.
+#[derive(Debug)]
+pub(crate) struct SharingConnection<C: Clock> {
+    sharing: Arc<PartSharing<C>>,
+    connection: u64,
+}
+
+impl<C: Clock> PartSharing<C> {
+    /// Creates a closed gate; no request may start on older weights after
+    /// `outdated_weights_max_ms`.
+    pub fn new(clock: C, outdated_weights_max_ms: Option<u64>) -> Self {
+        let max_wait_ms =
+            outdated_weights_max_ms.map_or(DEFAULT_WAIT_MS, |ms| ms / WAIT_DIVISOR);
+        let gate = Mutex::new(SharingGate::new(clock.now(), max_wait_ms));
+        Self { gate, clock }
+    }
+
+    /// Opens or closes the gate and returns its state.
+    pub(crate) fn set_open(&self, is_open: bool) -> SharingState {
+        let mut gate = self.gate.lock().unwrap();
+        match is_open {
+            true => gate.open(),
+            false => gate.close(self.clock.now()),
+        }
+        gate.state()
+    }
+
+    /// Returns how a load of weights may begin.
+    pub(crate) fn permission(&self) -> LoadPermission {
+        self.gate.lock().unwrap().permission(self.clock.now())
+    }
+
+    /// Adds the connection of an entry, which ends on drop.
+    pub(crate) fn connect(self: &Arc<Self>) -> SharingConnection<C> {
+        let connection = self.gate.lock().unwrap().connect();
+        SharingConnection { sharing: self.clone(), connection }
+    }
+}
+
+impl<C: Clock> SharingConnection<C> {
+    /// Records a message of the entry.
+    pub(crate) fn record(&self, release: &SharingRelease) {
+        let mut gate = self.sharing.gate.lock().unwrap();
+        gate.identify(self.connection, release.process);
+        gate.release(self.connection, release.term);
+    }
+}
+
+impl<C: Clock> Drop for SharingConnection<C> {
+    fn drop(&mut self) {
+        let now = self.sharing.clock.now();
+        self.sharing.gate.lock().unwrap().disconnect(self.connection, now);
+    }
+}
--- a/crates/bilberry-steward/tests/admission.rs
+++ b/crates/bilberry-steward/tests/admission.rs
@@ -22,6 +22,7 @@
 use bilberry_steward::LoadOrder;
 use bilberry_steward::OrderReply;
 use bilberry_steward::OriginOwner;
+use bilberry_steward::PartSharing;
 use bilberry_steward::PromptStores;
 use bilberry_steward::QuotaOwner;
 use bilberry_steward::ReportDetail;
@@ -110,7 +111,9 @@
         let admissions =
             Arc::new(AdmissionControl::new(engine.subscribe(), clock, metrics.clone()));
         tokio::spawn(admissions.clone().run());
+        let sharing = Arc::new(PartSharing::new(clock, None));
         let feed = Feed {
+            sharing,
             state: engine.subscribe(),
             cache: Arc::new(CacheView::new()),
             stores: PromptStores::new(|_| Unused),
--- a/crates/bilberry-wire/src/feed.rs
+++ b/crates/bilberry-wire/src/feed.rs
@@ -1,6 +1,7 @@
 //! Notifications between sidecars and entries.
 
 use bilberry_core::Incarnation;
+use bilberry_core::SharingState;
 use bilberry_core::UnixMs;
 use bilberry_core::WorkPace;
 
@@ -73,6 +74,45 @@
     /// Whether the sidecar records which software versions began streams.
     #[prost(bool, tag = "17")]
     pub keeps_origins: bool,
+    /// Whether entries may use the parts of the engine, if the sidecar decides on that.
+    #[prost(message, optional, tag = "18")]
+    pub sharing: Option<PartSharing>,
+}
+
+/// Whether other engines and prompt stores may take the parts of an engine.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct PartSharing {
+    /// Identifies the period up to the engine's next load.
+    #[prost(fixed64, tag = "1")]
+    pub term: u64,
+    /// Whether new uses may begin.
+    #[prost(bool, tag = "2")]
+    pub is_open: bool,
+}
+
+/// Tells a sidecar that an entry has no use of the engine's parts left.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct SharingRelease {
+    /// The term that has ended for the entry; zero if it only identifies itself.
+    #[prost(fixed64, tag = "1")]
+    pub term: u64,
+    /// A random number that identifies the process.
+    #[prost(fixed64, tag = "2")]
+    pub process: u64,
+}
+
+impl From<SharingState> for PartSharing {
+    fn from(state: SharingState) -> Self {
+        let SharingState { term, is_open } = state;
+        Self { term, is_open }
+    }
+}
+
+impl From<PartSharing> for SharingState {
+    fn from(state: PartSharing) -> Self {
+        let PartSharing { term, is_open } = state;
+        Self { term, is_open }
+    }
 }
 
 /// How fast an engine works, as measured by its sidecar.
--- a/crates/bilberry-wire/src/frame.rs
+++ b/crates/bilberry-wire/src/frame.rs
@@ -29,6 +29,7 @@
 use crate::Refused;
 use crate::RunQuery;
 use crate::RunReply;
+use crate::SharingRelease;
 use crate::StateRequest;
 use crate::StateResponse;
 use crate::StatusResponse;
@@ -53,7 +54,7 @@
     #[prost(
         oneof = "Body",
         tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, \
-                                    18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42, 43, 44, 45, 46, 47"
+                                    18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42, 43, 44, 45, 46, 47, 48"
     )]
     pub body: Option<Body>,
 }
@@ -97,6 +98,9 @@
     /// Reports that the upstream has sent nothing for long; the call goes on.
     #[prost(bool, tag = "47")]
     Silent(bool),
+    /// Releases the parts of a sidecar's engine.
+    #[prost(message, tag = "48")]
+    SharingRelease(SharingRelease),
     /// Cancels a call.
     #[prost(bool, tag = "15")]
     Cancel(bool),
--- a/crates/bilberryd/src/hosted.rs
+++ b/crates/bilberryd/src/hosted.rs
@@ -281,6 +281,7 @@
         origins,
         run_interest,
         runs,
+        sharing: steward.sharing(),
         clock,
     };
     tokio::spawn(serve_feed(feed, feed_state));
