Close connections to servers that send bytes without end

Callers of an entry were answered after up to 25 s in place of 2 s while some servers sent interim responses without end, and got foreign bytes as events of a stream whose event never ended.

Cause: hyper parses interim responses as long as the socket has bytes, which starved the entry's timers; the splitter passed an event of more than 1 MiB on unfinished.

Change: reads before a complete head are bounded, an event above 64 KiB is an interrupted run, and read buffers and answers to status calls are smaller.

--- a/crates/bilberry-core/src/event_split.rs
+++ b/crates/bilberry-core/src/event_split.rs
@@ -2,9 +2,17 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use thiserror::Error;
 
 /// The largest incomplete event that is buffered.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+///
+/// Many streams of a faulty server may each hold one.
+const MAX_EVENT_BYTES: usize = 64 * 1024;
+
+/// An event exceeds the limit, so the stream has to be closed.
+#[derive(Debug, Copy, Clone, PartialEq, Eq, Error)]
+#[error("an event exceeds {MAX_EVENT_BYTES} bytes; the stream is continued elsewhere")]
+pub struct OversizedEvent;
 
 /// Splits a server's event stream at the blank lines between events.
 ///
@@ -23,18 +31,20 @@
     }
 
     /// Appends bytes and returns the events that they complete.
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+    ///
+    /// Fails if an event is too large, as with bytes that are no events.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, OversizedEvent> {
         self.buffer.extend_from_slice(bytes);
         let end = match end_of_events(&self.buffer) {
             Some(end) => end,
-            None if self.buffer.len() > MAX_EVENT_BYTES => self.buffer.len(),
-            None => return None,
+            None if self.buffer.len() > MAX_EVENT_BYTES => return Err(OversizedEvent),
+            None => return Ok(None),
         };
         let events = self.buffer.split_to(end).freeze();
         if let Some(id) = last_id(&events) {
             self.last_id = Some(id);
         }
-        Some(events)
+        Ok(Some(events))
     }
 
     /// Reports whether all bytes so far belong to complete events.
--- a/crates/bilberry-core/src/lib.rs
+++ b/crates/bilberry-core/src/lib.rs
@@ -89,6 +89,7 @@
 pub use engine_queue::WorkAhead;
 pub use entry_count::EntryCount;
 pub use event_split::EventSplitter;
+pub use event_split::OversizedEvent;
 pub use expired_entries::ExpiredEntries;
 pub use expired_entries::Removal;
 pub use fence::Tenure;
--- a/crates/bilberry-core/tests/forwarding.rs
+++ b/crates/bilberry-core/tests/forwarding.rs
@@ -253,7 +253,7 @@
         for cut in cuts.into_iter().chain([usize::MAX]) {
             let (piece, left) = rest.split_at(cut.min(rest.len()));
             rest = left;
-            if let Some(events) = splitter.push(piece) {
+            if let Some(events) = splitter.push(piece).unwrap() {
                 prop_assert!(events.ends_with(b"\n\n"));
                 out.extend_from_slice(&events);
             }
@@ -298,12 +298,13 @@
 #[test]
 fn a_partial_event_is_buffered_and_dropped() {
     let mut splitter = EventSplitter::new();
-    assert!(splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").is_some());
+    assert!(splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap().is_some());
     assert!(!splitter.is_at_boundary());
     assert_eq!(splitter.last_id(), Some(1));
     splitter.drop_partial();
     // The replacement server repeats the event that was cut off.
-    let events = splitter.push(b"id: 2\ndata: b\n\n").expect("the event is complete");
+    let events = splitter.push(b"id: 2\ndata: b\n\n").unwrap();
+    let events = events.expect("the event is complete");
     assert_eq!(&events[..], b"id: 2\ndata: b\n\n");
 }
 
--- a/crates/bilberry-gateway/src/connections.rs
+++ b/crates/bilberry-gateway/src/connections.rs
@@ -24,6 +24,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::head_limit::HeadLimit;
+use crate::head_limit::HeadLimitedStream;
+
 /// The timeout for establishing a connection.
 ///
 /// About a hundred round trips within a region. A host without power never answers, and
@@ -49,6 +52,11 @@
 /// A request sent while the upstream closes the connection would be lost.
 const IDLE_MARGIN_MS: u64 = 700;
 
+/// The largest head of a response, and the largest chunk that is read of a body.
+///
+/// Many connections to a faulty server may each hold as much.
+const MAX_READ_BYTES: usize = 128 * 1024;
+
 /// Why a request did not get a response.
 #[derive(Debug, Error)]
 pub enum SendError {
@@ -98,6 +106,7 @@
 pub struct Connection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     driver: JoinHandle<()>,
 }
 
@@ -187,7 +196,10 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.sender.try_send_request(request).await.map_err(|mut failed| {
+        self.head_limit.start();
+        let sent = self.sender.try_send_request(request).await;
+        self.head_limit.end();
+        sent.map_err(|mut failed| {
             // hyper returns the request only if none of it was written.
             let reason = failed.error().to_string();
             match failed.take_message() {
@@ -210,7 +222,11 @@
     set_tcp_options(&stream);
     enable_keepalive(&stream);
     reset_on_close(&stream);
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let head_limit = HeadLimit::new();
+    let limited = HeadLimitedStream::new(stream, head_limit.clone());
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_READ_BYTES);
+    let handshake = builder.handshake(TokioIo::new(limited)).await;
     let failed = |error: hyper::Error| ConnectError::Failed(error.to_string());
     let (sender, connection) = handshake.map_err(failed)?;
     let driver = tokio::spawn(async move {
@@ -218,7 +234,7 @@
             log::debug!("connection to {address} failed: {error}");
         }
     });
-    Ok(Connection { address, sender, driver })
+    Ok(Connection { address, sender, head_limit, driver })
 }
 
 fn connect_error(error: &std::io::Error) -> ConnectError {
--- a/crates/bilberry-gateway/src/lib.rs
+++ b/crates/bilberry-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod feeds;
 mod forward;
 mod gateway;
+mod head_limit;
 mod held_back;
 mod host_checks;
 mod hubs;
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -10,6 +10,7 @@
 use bilberry_core::Handover;
 use bilberry_core::HandoverEvent;
 use bilberry_core::HandoverStep;
+use bilberry_core::OversizedEvent;
 use bilberry_core::RetryKind;
 use bilberry_core::RunOverlap;
 use bilberry_node::BodyChunk;
@@ -358,7 +359,16 @@
                 has_sound_parts = true;
                 self.record_sound_parts(context);
             }
-            let Some(events) = splitter.push(&bytes) else { continue };
+            let events = match splitter.push(&bytes) {
+                Ok(Some(events)) => events,
+                Ok(None) => continue,
+                Err(OversizedEvent) => {
+                    // Not the end of the upstream, so not a sign of a crash.
+                    return RelayEnd::Interrupted {
+                        reason: "an event was too large",
+                        first_run_end: None,
+                        is_silent: true,
+                    };
                 }
             };
             self.record_origin(context, &upstream);
--- a/crates/bilberry-gateway/src/successor.rs
+++ b/crates/bilberry-gateway/src/successor.rs
@@ -300,7 +300,7 @@
     while let Some(Ok(frame)) = response.http.body_mut().frame().await {
         let Ok(data) = frame.into_data() else { continue };
         received.extend_from_slice(&data);
-        if splitter.push(&data).is_some() {
+        if splitter.push(&data).ok()?.is_some() {
             return Some(received.freeze());
         }
     }
--- a/crates/bilberry-platform/src/http.rs
+++ b/crates/bilberry-platform/src/http.rs
@@ -31,7 +31,7 @@
 use crate::PlatformError;
 
 /// The maximum size of a response body.
-const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
 /// The minimum time for which the circuit breaker stays open.
 const MIN_OPEN_MS: u64 = 200;
