Send streams to callers without the length that their first server named

A caller got the first bytes of a stream as a whole answer (ORDER): a server sent a head with a length and bytes that are no events, the stream went on at another engine, and hyper cut it at the length.

--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -99,11 +99,13 @@
         response: UpstreamResponse,
     ) -> Response<ResponseBody> {
         let (pieces, body) = mpsc::channel(BODY_CHANNEL_CAPACITY);
-        let head = self.caller_response(
+        let mut head = self.caller_response(
             response.http.status(),
             response.http.headers(),
             ResponseBody::Stream(body),
         );
+        // A successor's events may follow, which the length does not cover.
+        head.headers_mut().remove(CONTENT_LENGTH);
         tokio::spawn(async move {
             let ended = self.relay_stream(&mut context, response, &pieces).await;
             match ended {
