--- a/crates/bilberry-gateway/src/plain_response.rs
+++ b/crates/bilberry-gateway/src/plain_response.rs
@@ -31,7 +31,7 @@
 /// A plain response, complete or with the part that was buffered.
 pub(crate) enum PlainResponse {
     Complete(Response<ResponseBody>),
-    Partial(UpstreamResponse, Bytes),
+    Partial(Box<UpstreamResponse>, Bytes),
 }
 
 impl<D: Dialect, C: Clock> Gateway<D, C> {
@@ -57,7 +57,7 @@
         self.note_first_byte(context);
         let buffered = read.freeze();
         if !is_complete {
-            return Ok(PlainResponse::Partial(response, buffered));
+            return Ok(PlainResponse::Partial(Box::new(response), buffered));
         }
         let upstream = response.reservation.upstream.clone();
         if !is_framed(response.http.headers())
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -121,10 +121,10 @@
                 response
             }
             (ServeOutcome::Stream(response), Some(context)) => {
-                self.relay(context, response)
+                self.relay(context, *response)
             }
             (ServeOutcome::Partial(response, buffered), Some(context)) => {
-                self.stream_partial(context, response, buffered)
+                self.stream_partial(context, *response, buffered)
             }
             (ServeOutcome::Refused(refusal), Some(context)) => {
                 self.refuse(&context, &refusal)
@@ -341,9 +341,9 @@
 /// The outcome of serving a request.
 enum ServeOutcome {
     Complete(Response<ResponseBody>),
-    Stream(UpstreamResponse),
+    Stream(Box<UpstreamResponse>),
     /// A plain response that is too large to be buffered, and the part that was read.
-    Partial(UpstreamResponse, Bytes),
+    Partial(Box<UpstreamResponse>, Bytes),
     Refused(Refusal),
 }
 
@@ -367,7 +367,7 @@
                 Err(refusal) => return ServeOutcome::Refused(refusal),
             };
             if is_stream(context, &response.http) {
-                return ServeOutcome::Stream(response);
+                return ServeOutcome::Stream(Box::new(response));
             }
             match self.gateway.buffer_response(context, response).await {
                 Ok(PlainResponse::Complete(response)) => {
