--- a/crates/bilberry-core/src/part_sharing.rs
+++ b/crates/bilberry-core/src/part_sharing.rs
@@ -17,6 +17,11 @@
 /// entry keeps using the parts of a silent engine, and a request then waits.
 const DEPARTED_MS: u64 = 10_000;
 
+/// How long a request may go on at its engine after its connection was closed.
+///
+/// The close discards what was not delivered, and engines drop the request.
+const CLOSED_MS: u64 = 1_000;
+
 /// Whether entries may use the parts of an engine.
 ///
 /// Use means that another engine fetches parts from it, or that it writes parts to a
@@ -155,8 +160,10 @@
 pub struct PartUses {
     state: Option<ReportedSharing>,
     in_progress: usize,
-    /// The deadlines of requests that ended without telling whether they had run.
-    unknown_until: Vec<UnixMs>,
+    /// The number of requests whose connections have been closed since the last query.
+    abandoned: usize,
+    /// Until when the earlier ones may go on.
+    abandoned_until: Vec<UnixMs>,
 }
 
 /// The last report of an engine's sidecar.
@@ -198,17 +205,20 @@
         self.in_progress = self.in_progress.saturating_sub(1);
     }
 
-    /// Ends a use of which nothing is known; servers stop its work at `deadline`.
-    pub fn abandon(&mut self, deadline: UnixMs) {
+    /// Ends a use whose request may go on for a while, as its connection was closed.
+    pub fn abandon(&mut self) {
         self.end();
-        self.unknown_until.push(deadline);
+        self.abandoned += 1;
     }
 
     /// Returns the term to release, if the sharing has ended and so have all uses.
     pub fn released_term(&mut self, now: UnixMs) -> Option<u64> {
-        self.unknown_until.retain(|deadline| !deadline.has_passed_at(now));
+        let abandoned = std::mem::take(&mut self.abandoned);
+        let until = now.plus_ms(CLOSED_MS);
+        self.abandoned_until.extend(std::iter::repeat_n(until, abandoned));
+        self.abandoned_until.retain(|until| !until.has_passed_at(now));
         let state = self.state.as_ref()?.state;
-        let is_unused = self.in_progress == 0 && self.unknown_until.is_empty();
+        let is_unused = self.in_progress == 0 && self.abandoned_until.is_empty();
         (!state.is_open && is_unused).then_some(state.term)
     }
 }
--- a/crates/bilberry-gateway/src/dispatch.rs
+++ b/crates/bilberry-gateway/src/dispatch.rs
@@ -77,7 +77,7 @@
             let supply =
                 self.prompt_supply(context, reservation, &keys, store.as_deref());
             dispatch.fetch_from = supply.source;
-            let source_use = supply.peer.map(|peer| peer.begin(context.deadline));
+            let source_use = supply.peer.map(|peer| peer.begin());
             context.fetch_from = supply.source;
             context.supplied_tokens = supply.tokens;
             let own_tokens = context.call.prompt_tokens.saturating_sub(shared_tokens);
@@ -89,7 +89,7 @@
                 should_save(missing_tokens, own_tokens).then_some(store.terms.address)
             });
             let save_use = own_parts.filter(|_| dispatch.save_to.is_some());
-            let save_use = save_use.map(|parts| parts.begin(context.deadline));
+            let save_use = save_use.map(|parts| parts.begin());
             reservation.set_part_uses(source_use, save_use);
             if dispatch.resume_from.is_none() {
                 self.begin_prefill(context, reservation, supply.tokens);
--- a/crates/bilberry-gateway/src/part_use.rs
+++ b/crates/bilberry-gateway/src/part_use.rs
@@ -10,11 +10,6 @@
 use bilberry_wire::UpstreamState;
 use tokio::sync::Notify;
 
-/// How much later than the caller's deadline an engine may drop a request.
-///
-/// Its time starts when the request arrives.
-const ARRIVAL_SLACK_MS: u64 = 1_000;
-
 /// The uses of prompt parts by the address of the engine.
 ///
 /// Requests name their source by its address, so the uses outlive the incarnation and the
@@ -36,11 +31,10 @@
 
 /// The use of an engine's parts by one request.
 ///
-/// Dropped without `settle`, it counts until the engine has stopped the request's work.
+/// Dropped without `settle`, it counts until the engine has dropped the request.
 #[derive(Debug)]
 pub(crate) struct PartUse {
     parts: Arc<EngineParts>,
-    deadline: UnixMs,
     is_settled: bool,
 }
 
@@ -70,11 +64,10 @@
         self.uses.lock().unwrap().may_use(model, version, now)
     }
 
-    /// Begins the use by a request with this deadline.
-    pub(crate) fn begin(self: &Arc<Self>, deadline: UnixMs) -> PartUse {
+    /// Begins a use.
+    pub(crate) fn begin(self: &Arc<Self>) -> PartUse {
         self.uses.lock().unwrap().begin();
-        let deadline = deadline.plus_ms(ARRIVAL_SLACK_MS);
-        PartUse { parts: self.clone(), deadline, is_settled: false }
+        PartUse { parts: self.clone(), is_settled: false }
     }
 
     /// Returns the term to release, if the sharing and all uses have ended.
@@ -95,7 +88,7 @@
         let mut uses = self.parts.uses.lock().unwrap();
         match self.is_settled {
             true => uses.end(),
-            false => uses.abandon(self.deadline),
+            false => uses.abandon(),
         }
         drop(uses);
         self.parts.ended.notify_one();
