Share no prompt parts while an order that retains runs may be carried out

What callers could get: a prompt part made under newer weights, fetched from an engine that loads them seconds after it was ordered to.

Cause: the gate followed the schedule of the next load alone. If an order got no answer and an entry then reported another position in the rollout, the load was planned for later and the gate opened again, while the first order was still on its way. A restarted sidecar opened the gate likewise, or because it did not know yet of the weights that its earlier process had ordered.

Evidence: the model in part_sharing_model knew of orders under way and of all namings; with late orders, positions that change, and sidecars that start with an older version, the property fails on the gate as it was (two stale uses) and passes with this change. The two new tests in steward/tests/loads.rs fail without it and pass with it.

Now the gate records an order before it is sent and stays closed until the engine has the ordered weights. A new process begins as if one had been sent; it ends with the newest weights once the announcements have been listed, or after the longest delay of an order. Each order expects the number of orders before it, so one that is carried out voids the others.

--- a/crates/bilberry-core/src/lib.rs
+++ b/crates/bilberry-core/src/lib.rs
@@ -131,6 +131,7 @@
 pub use overload::OverloadGate;
 pub use pace::PaceMeter;
 pub use pace::WorkPace;
+pub use part_sharing::LoadOutlook;
 pub use part_sharing::LoadPermission;
 pub use part_sharing::PartUses;
 pub use part_sharing::SharingGate;
--- a/crates/bilberry-core/src/part_sharing.rs
+++ b/crates/bilberry-core/src/part_sharing.rs
@@ -17,6 +17,9 @@
 /// begin new ones, and they wait in the queues of engines.
 const DEPARTED_MS: u64 = 10_000;
 
+/// How late an order may be carried out.
+const MAX_ORDER_DELAY_MS: u64 = 10_000;
+
 /// How long a request may go on at its engine after its connection was closed.
 ///
 /// The close discards what was not delivered, and engines drop the request.
@@ -34,6 +37,19 @@
     pub is_open: bool,
 }
 
+/// What a sidecar knows of the next load of its engine.
+#[derive(Debug, Copy, Clone, PartialEq, Eq)]
+pub enum LoadOutlook {
+    /// The engine has the newest weights that have been announced.
+    Current,
+    /// The same as far as known, but the announcements have not been listed yet.
+    Unconfirmed,
+    /// A load is scheduled, and is not due soon.
+    Planned,
+    /// A load is in progress or due soon, or the newest weights are not known.
+    Imminent,
+}
+
 /// How an engine may begin a load of weights.
 #[derive(Debug, Copy, Clone, PartialEq, Eq)]
 pub enum LoadPermission {
@@ -67,6 +83,18 @@
     last_connection: u64,
     /// When the last request ends of an entry that left without a release, by process.
     departed_until: BTreeMap<u64, UnixMs>,
+    orders: UnconfirmedOrders,
+}
+
+/// Orders to retain runs that may still be carried out.
+#[derive(Debug)]
+struct UnconfirmedOrders {
+    /// The newest ordered version of each model that the engine has not loaded.
+    own: BTreeMap<String, u64>,
+    /// Whether an earlier process of the sidecar may have sent one.
+    may_inherit: bool,
+    /// When an order of an earlier process has expired.
+    inherited_until: UnixMs,
 }
 
 /// A connected entry.
@@ -92,6 +120,11 @@
             entries: BTreeMap::new(),
             last_connection: 0,
             departed_until: BTreeMap::from([(UNIDENTIFIED, now.plus_ms(DEPARTED_MS))]),
+            orders: UnconfirmedOrders {
+                own: BTreeMap::new(),
+                may_inherit: true,
+                inherited_until: now.plus_ms(MAX_ORDER_DELAY_MS),
+            },
         }
     }
 
@@ -100,6 +133,30 @@
         self.state
     }
 
+    /// Opens or closes the gate according to the engine's next load and its weights.
+    ///
+    /// The gate stays closed while an order may be carried out that retains runs, even if
+    /// the load is scheduled anew for later.
+    pub fn update(
+        &mut self,
+        outlook: LoadOutlook,
+        served: &[(String, u64)],
+        now: UnixMs,
+    ) {
+        self.orders.update(outlook, served, now);
+        match outlook {
+            _ if self.orders.are_possible() => self.close(now),
+            LoadOutlook::Imminent => self.close(now),
+            _ => self.open(),
+        }
+    }
+
+    /// Records an order that retains runs, before it is sent.
+    pub fn record_retaining_order(&mut self, model: &str, version: u64) {
+        let newest = self.orders.own.entry(model.to_string()).or_default();
+        *newest = version.max(*newest);
+    }
+
     /// Lets entries use the parts in a new term.
     pub fn open(&mut self) {
         if !self.state.is_open {
@@ -172,6 +229,30 @@
     }
 }
 
+impl UnconfirmedOrders {
+    /// Discards the orders that can't be carried out any more.
+    ///
+    /// Each order expects the number of orders before it, so of several at most one is
+    /// carried out.
+    fn update(&mut self, outlook: LoadOutlook, served: &[(String, u64)], now: UnixMs) {
+        let had_orders = !self.own.is_empty();
+        self.own.retain(|model, ordered| {
+            !served.iter().any(|(name, version)| name == model && version >= ordered)
+        });
+        let is_loaded = had_orders && self.own.is_empty();
+        let has_expired = self.inherited_until.has_passed_at(now);
+        self.may_inherit &= match outlook {
+            LoadOutlook::Current => false,
+            LoadOutlook::Unconfirmed => !has_expired && !is_loaded,
+            LoadOutlook::Planned | LoadOutlook::Imminent => !is_loaded,
+        };
+    }
+
+    fn are_possible(&self) -> bool {
+        self.may_inherit || !self.own.is_empty()
+    }
+}
+
 /// An entry's uses of the parts of one engine.
 #[derive(Debug, Default)]
 pub struct PartUses {
--- a/crates/bilberry-core/tests/part_sharing.rs
+++ b/crates/bilberry-core/tests/part_sharing.rs
@@ -2,6 +2,7 @@
 
 mod part_sharing_model;
 
+use bilberry_core::LoadOutlook;
 use bilberry_core::LoadPermission;
 use bilberry_core::PartUses;
 use bilberry_core::SharingGate;
@@ -27,10 +28,17 @@
     entry_kills: 60,
     sidecar_kills: 60,
     late_orders: 200,
+    moves: 300,
 };
 
-const CALM: Load =
-    Load { cuts: 0, entry_kills: 0, sidecar_kills: 0, late_orders: 0, ..DISTURBED };
+const CALM: Load = Load {
+    cuts: 0,
+    entry_kills: 0,
+    sidecar_kills: 0,
+    late_orders: 0,
+    moves: 0,
+    ..DISTURBED
+};
 
 fn total(load: Load) -> Figures {
     (0..20).map(|seed| play(load, seed)).fold(Figures::default(), |sum, it| Figures {
@@ -181,3 +189,29 @@
     assert_eq!(uses.released_term(NOW.plus_ms(999)), None);
     assert_eq!(uses.released_term(NOW.plus_ms(1_000)), Some(gate.state().term));
 }
+
+/// Guards against a load that is scheduled anew while its first order is still on its way.
+#[test]
+fn parts_are_not_shared_while_an_order_may_be_carried_out() {
+    let mut gate = SharingGate::new(UnixMs(0), 2_000);
+    let served = |version| [("m".to_string(), version)];
+    gate.update(LoadOutlook::Current, &served(2), NOW);
+    assert!(gate.state().is_open);
+    gate.update(LoadOutlook::Imminent, &served(2), NOW);
+    gate.record_retaining_order("m", 3);
+    gate.update(LoadOutlook::Planned, &served(2), NOW);
+    assert!(!gate.state().is_open);
+    gate.update(LoadOutlook::Planned, &served(3), NOW);
+    assert!(gate.state().is_open);
+}
+
+/// Guards against an order of an earlier process for weights that are not known yet.
+#[test]
+fn a_new_gate_opens_once_earlier_orders_have_expired() {
+    let mut gate = SharingGate::new(UnixMs(0), 2_000);
+    let served = [("m".to_string(), 2)];
+    gate.update(LoadOutlook::Unconfirmed, &served, UnixMs(9_999));
+    assert!(!gate.state().is_open);
+    gate.update(LoadOutlook::Unconfirmed, &served, UnixMs(10_000));
+    assert!(gate.state().is_open);
+}
--- a/crates/bilberry-core/tests/part_sharing_model/mod.rs
+++ b/crates/bilberry-core/tests/part_sharing_model/mod.rs
@@ -1,5 +1,6 @@
 //! Engines that load weights while requests fetch parts from one another.
 
+use bilberry_core::LoadOutlook;
 use bilberry_core::LoadPermission;
 use bilberry_core::PartUses;
 use bilberry_core::SharingGate;
@@ -57,6 +58,8 @@
     pub sidecar_kills: u64,
     /// Of 1,000 orders: carried out up to 3 s later.
     pub late_orders: u64,
+    /// Of 1,000 seconds: changes of an engine's position in rollouts.
+    pub moves: u64,
 }
 
 pub struct Rng(pub u64);
@@ -78,11 +81,60 @@
 
 struct Engine {
     version: u64,
-    loading: Option<(u64, u64, LoadPermission)>,
+    loading: Option<(u64, LoadPermission)>,
     /// Versions under whose salt a retained run may have been prefilled again.
     mixed: Vec<u64>,
+    orders: u64,
+    late_orders: Vec<LateOrder>,
     gate: SharingGate,
-    ordered: bool,
+    /// When its turn comes after a naming.
+    turn_ms: u64,
+    /// The newest version that its sidecar knows.
+    known: u64,
+    listed_at: u64,
+    next_order_at: u64,
+}
+
+#[derive(Clone, Copy)]
+struct LateOrder {
+    arrives_at: u64,
+    expected: u64,
+    version: u64,
+    permission: LoadPermission,
+}
+
+impl Engine {
+    /// Restarts the sidecar, which may know an older version until it has listed all.
+    fn restart_sidecar(&mut self, now: u64, named: u64, rng: &mut Rng) {
+        self.gate = SharingGate::new(UnixMs(now), MAX_WAIT_MS);
+        self.known = named.saturating_sub(rng.below(3)).max(1);
+        self.listed_at = now + rng.below(4_000);
+        self.next_order_at = now;
+    }
+
+    fn outlook(&self, turn_at: u64, now: u64) -> LoadOutlook {
+        match self.version < self.known {
+            _ if self.loading.is_some() => LoadOutlook::Imminent,
+            true if now + 400 >= turn_at => LoadOutlook::Imminent,
+            true => LoadOutlook::Planned,
+            false if now < self.listed_at => LoadOutlook::Unconfirmed,
+            false => LoadOutlook::Current,
+        }
+    }
+
+    /// Carries out at most one of the orders that expect the same number of orders.
+    fn receive_orders(&mut self, now: u64) {
+        let (arrived, late) =
+            self.late_orders.iter().partition(|it| it.arrives_at <= now);
+        self.late_orders = late;
+        for order in Vec::<LateOrder>::into_iter(arrived) {
+            let is_expected = order.expected == self.orders && self.loading.is_none();
+            if is_expected && order.version > self.version {
+                self.orders += 1;
+                self.loading = Some((order.version, order.permission));
+            }
+        }
+    }
 }
 
 struct Link {
@@ -123,12 +175,17 @@
     let mut figures = Figures::default();
     let new_gate = |now: u64| SharingGate::new(UnixMs(now), MAX_WAIT_MS);
     let mut engines: Vec<Engine> = (0..4)
-        .map(|_| Engine {
+        .map(|at| Engine {
             version: 1,
             loading: None,
             mixed: Vec::new(),
+            orders: 0,
+            late_orders: Vec::new(),
             gate: new_gate(1_000),
-            ordered: false,
+            turn_ms: 300 * at,
+            known: 1,
+            listed_at: 0,
+            next_order_at: 0,
         })
         .collect();
     let new_link = || Link {
@@ -156,18 +213,21 @@
         // Sidecars and engines.
         for (at, engine) in engines.iter_mut().enumerate() {
             if rng.in_a_tick(load.sidecar_kills) {
-                engine.gate = new_gate(now);
-                engine.ordered = engine.loading.is_some();
+                engine.restart_sidecar(now, named, &mut rng);
                 entries.iter_mut().for_each(|entry| entry.links[at].connection = None);
             }
-            let is_outdated = engine.version < named;
-            figures.outdated_ms += if is_outdated { TICK_MS } else { 0 };
-            let turn_at = named_at + 300 * at as u64;
-            match is_outdated && now + 400 >= turn_at || engine.loading.is_some() {
-                true => engine.gate.close(time),
-                false => engine.gate.open(),
+            if rng.in_a_tick(load.moves) {
+                engine.turn_ms = rng.below(2_500);
             }
-            if is_outdated && now >= turn_at && !engine.ordered {
+            if now >= engine.listed_at {
+                engine.known = named;
+            }
+            figures.outdated_ms += if engine.version < named { TICK_MS } else { 0 };
+            let turn_at = named_at + engine.turn_ms;
+            let served = [(MODEL.to_string(), engine.version)];
+            engine.gate.update(engine.outlook(turn_at, now), &served, time);
+            let is_outdated = engine.version < engine.known && engine.loading.is_none();
+            if is_outdated && now >= turn_at.max(engine.next_order_at) {
                 let permission = match load.way {
                     Way::Release => engine.gate.permission(time),
                     Way::Finish => LoadPermission::Finish,
@@ -175,17 +235,23 @@
                 };
                 if permission != LoadPermission::Wait {
                     let is_late = rng.happens(load.late_orders);
-                    let late_ms = if is_late { rng.below(3_000) } else { 0 };
-                    engine.loading = Some((named, now + late_ms, permission));
-                    engine.ordered = true;
+                    let delay_ms = if is_late { 1 + rng.below(3_000) } else { 0 };
+                    engine.late_orders.push(LateOrder {
+                        arrives_at: now + delay_ms,
+                        expected: engine.orders,
+                        version: engine.known,
+                        permission,
+                    });
+                    engine.next_order_at = now + 500;
+                }
+                if permission == LoadPermission::Retain {
+                    engine.gate.record_retaining_order(MODEL, engine.known);
                 }
             }
-            let Some((version, from, permission)) = engine.loading else { continue };
+            engine.receive_orders(now);
+            let Some((version, permission)) = engine.loading else { continue };
             let is_running = |it: &Request| it.target == at && it.has_begun;
             let has_runs = requests.iter().any(is_running);
-            if now < from {
-                continue;
-            }
             if permission == LoadPermission::Finish && has_runs {
                 figures.finishing_ms += TICK_MS;
                 continue;
@@ -206,7 +272,6 @@
             });
             engine.version = version;
             engine.loading = None;
-            engine.ordered = false;
             engine.mixed.dedup();
         }
         // Connections.
@@ -276,7 +341,7 @@
             }
             let target = rng.below(4) as usize;
             let version = engines[target].version;
-            let is_loading = engines[target].loading.is_some_and(|it| it.1 <= now);
+            let is_loading = engines[target].loading.is_some();
             if is_loading || !engines[target].gate.state().is_open && rng.happens(500) {
                 continue;
             }
@@ -318,7 +383,7 @@
         }
         // Runs.
         for it in requests.iter_mut() {
-            let is_loading = engines[it.target].loading.is_some_and(|at| at.1 <= now);
+            let is_loading = engines[it.target].loading.is_some();
             if !it.has_begun && it.begins_at <= now && !is_loading {
                 it.has_begun = true;
                 let is_stale =
--- a/crates/bilberry-steward/src/engine_controller.rs
+++ b/crates/bilberry-steward/src/engine_controller.rs
@@ -6,6 +6,7 @@
 use bilberry_core::Clock;
 use bilberry_core::Incarnation;
 use bilberry_core::IncarnationOrder;
+use bilberry_core::LoadOutlook;
 use bilberry_core::LoadPermission;
 use bilberry_core::PaceMeter;
 use bilberry_core::Rollout;
@@ -259,7 +260,8 @@
         let now = self.clock.now();
         let pace = self.measure_pace(report, state, now);
         let next_load = self.next_load(report, state);
-        let sharing = self.sharing.set_open(self.may_share(report, next_load.as_ref()));
+        let outlook = self.load_outlook(report, next_load.as_ref());
+        let sharing = self.sharing.update(outlook, &report.models);
         let planned_start = next_load.as_ref().map(|load| load.starts_at);
         let next_load = self.await_release(next_load, state, now);
         self.record_plan(report, next_load.as_ref(), state, now);
@@ -366,16 +368,23 @@
         report.models.iter().find_map(load_for)
     }
 
-    /// Reports whether entries may use the engine's parts until the next report.
-    ///
-    /// Not before the newest weights are known: an order of an earlier process may still
-    /// be carried out.
-    fn may_share(&self, report: &EngineReport, next_load: Option<&NextLoad>) -> bool {
+    /// Returns what is known of the engine's next load.
+    fn load_outlook(
+        &self,
+        report: &EngineReport,
+        next_load: Option<&NextLoad>,
+    ) -> LoadOutlook {
         let now = self.clock.now();
         let is_known = |served: &ModelVersion| self.newest.knows(&served.model);
-        !report.busy
-            && !next_load.is_some_and(|load| load.ends_sharing(now))
-            && report.models.iter().all(is_known)
+        match next_load {
+            _ if report.busy || !report.models.iter().all(is_known) => {
+                LoadOutlook::Imminent
+            }
+            Some(load) if load.ends_sharing(now) => LoadOutlook::Imminent,
+            Some(_) => LoadOutlook::Planned,
+            None if !self.newest.is_listed() => LoadOutlook::Unconfirmed,
+            None => LoadOutlook::Current,
+        }
     }
 
     /// Delays a load until its engine's parts are released, and sets how it may begin.
@@ -467,6 +476,9 @@
             expected_orders: report.orders,
             incarnation: state.incarnation,
         };
+        if load.mode == SwapMode::Continue {
+            self.sharing.record_retaining_order(&load.weights);
+        }
         let reply = timeout(ENGINE_TIMEOUT, self.engine.load(&order)).await;
         let (outcome, delay_ms) = match &reply {
             Ok(Ok(OrderReply::Accepted)) => ("accepted", ORDER_DELAY_MS),
--- a/crates/bilberry-steward/src/latest_weights.rs
+++ b/crates/bilberry-steward/src/latest_weights.rs
@@ -19,6 +19,7 @@
 struct Known {
     weights: HashMap<Name, AnnouncedWeights>,
     place: Option<RolloutPlace>,
+    is_listed: bool,
 }
 
 impl LatestWeights {
@@ -42,6 +43,16 @@
         self.known.lock().unwrap().place = Some(RolloutPlace { position, servers, down });
     }
 
+    /// Records that all announced versions have been read from the platform.
+    pub fn record_listing(&self) {
+        self.known.lock().unwrap().is_listed = true;
+    }
+
+    /// Reports whether this process has read all versions announced before its start.
+    pub fn is_listed(&self) -> bool {
+        self.known.lock().unwrap().is_listed
+    }
+
     /// Reports whether any version of a model's weights is known.
     pub fn knows(&self, model: &str) -> bool {
         self.known.lock().unwrap().weights.contains_key(model)
--- a/crates/bilberry-steward/src/part_sharing.rs
+++ b/crates/bilberry-steward/src/part_sharing.rs
@@ -4,10 +4,12 @@
 use std::sync::Mutex;
 
 use bilberry_core::Clock;
+use bilberry_core::LoadOutlook;
 use bilberry_core::LoadPermission;
 use bilberry_core::SharingGate;
 use bilberry_core::SharingState;
 use bilberry_core::UnreleasedEntries;
+use bilberry_wire::ModelVersion;
 use bilberry_wire::SharingRelease;
 
 /// The time that entries have to release the parts, as a divisor of the bound on older
@@ -42,15 +44,24 @@
     }
 
     /// Opens or closes the gate and returns its state.
-    pub(crate) fn set_open(&self, is_open: bool) -> SharingState {
+    pub(crate) fn update(
+        &self,
+        outlook: LoadOutlook,
+        served: &[ModelVersion],
+    ) -> SharingState {
+        let served = served.iter().map(|it| (it.model.clone(), it.version));
+        let served: Vec<_> = served.collect();
         let mut gate = self.gate.lock().unwrap();
-        match is_open {
-            true => gate.open(),
-            false => gate.close(self.clock.now()),
-        }
+        gate.update(outlook, &served, self.clock.now());
         gate.state()
     }
 
+    /// Records an order that retains runs, before it is sent.
+    pub(crate) fn record_retaining_order(&self, weights: &ModelVersion) {
+        let mut gate = self.gate.lock().unwrap();
+        gate.record_retaining_order(&weights.model, weights.version);
+    }
+
     /// Returns how a load of weights may begin.
     pub(crate) fn permission(&self) -> LoadPermission {
         self.gate.lock().unwrap().permission(self.clock.now())
--- a/crates/bilberry-steward/tests/loads.rs
+++ b/crates/bilberry-steward/tests/loads.rs
@@ -19,6 +19,7 @@
 use bilberry_steward::LoadOrder;
 use bilberry_steward::OrderReply;
 use bilberry_steward::ReportDetail;
+use bilberry_wire::EntryNotice;
 use bilberry_wire::ModelVersion;
 use tokio::sync::watch;
 use tokio::time::timeout;
@@ -78,14 +79,22 @@
     engine: &StubEngine,
     clock: &ManualClock,
 ) -> watch::Receiver<EngineState> {
-    let newest = LatestWeights::default();
+    let newest = Arc::new(LatestWeights::default());
     newest.record_version(MODEL, 3, clock.now());
+    start_steward_with(engine, clock, newest)
+}
+
+fn start_steward_with(
+    engine: &StubEngine,
+    clock: &ManualClock,
+    newest: Arc<LatestWeights>,
+) -> watch::Receiver<EngineState> {
     let steward = Arc::new(EngineController::new(
         engine.clone(),
         clock.clone(),
         "sidecar-0".to_string(),
         None,
-        Arc::new(newest),
+        newest,
         Arc::new(CacheView::new()),
     ));
     tokio::spawn(steward.clone().run());
@@ -133,3 +142,53 @@
     clock.0.fetch_add(2_000, Ordering::Relaxed);
     wait_for(&mut engine.orders.subscribe(), |&orders| orders > 0).await;
 }
+
+fn shares_parts(state: &EngineState) -> bool {
+    state.upstream.sharing.is_some_and(|sharing| sharing.is_open)
+}
+
+/// Waits until a report with this number of runs has been processed.
+async fn process_report(
+    engine: &StubEngine,
+    states: &mut watch::Receiver<EngineState>,
+    running: u64,
+) {
+    engine.report.send_replace(report(0, running));
+    wait_for(states, |state| state.upstream.running == running).await;
+}
+
+/// Guards against an order of the sidecar's earlier process that is carried out late.
+#[tokio::test]
+async fn a_restarted_sidecar_shares_no_parts_of_outdated_weights() {
+    let clock = ManualClock::default();
+    let engine = engine(0);
+    let newest = Arc::new(LatestWeights::default());
+    newest.record_listing();
+    newest.record_version(MODEL, 3, clock.now());
+    // The engine's turn is the last of many.
+    let notice = EntryNotice { position: 99, servers: 100, ..EntryNotice::default() };
+    newest.record_notice(&notice, clock.now());
+    let mut states = start_steward_with(&engine, &clock, newest);
+    process_report(&engine, &mut states, 1).await;
+    process_report(&engine, &mut states, 2).await;
+    assert!(!shares_parts(&states.borrow()));
+    assert_eq!(*engine.orders.borrow(), 0, "the load is not due");
+    let models = vec![ModelVersion { model: MODEL.to_string(), version: 3 }];
+    engine.report.send_replace(EngineReport { models, ..report(0, 3) });
+    wait_for(&mut states, shares_parts).await;
+}
+
+/// Guards against an earlier order for weights that the sidecar doesn't know yet.
+#[tokio::test]
+async fn a_restarted_sidecar_shares_no_parts_until_announcements_are_listed() {
+    let clock = ManualClock::default();
+    let engine = engine(0);
+    let newest = Arc::new(LatestWeights::default());
+    newest.record_version(MODEL, 2, clock.now());
+    let mut states = start_steward_with(&engine, &clock, newest.clone());
+    process_report(&engine, &mut states, 1).await;
+    process_report(&engine, &mut states, 2).await;
+    assert!(!shares_parts(&states.borrow()));
+    newest.record_listing();
+    wait_for(&mut states, shares_parts).await;
+}
