Do not take a stream without framing and events for complete

Cause: a response that ends with its connection counts as complete if it ends between two events and its engine answers a probe afterwards. An engine that crashed before the first event, was back when the probe came and does not tell when it started passed both checks.

Fix: such a stream without any event has not ended. A complete one has at least its last event, unless the caller resumed after that.

--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -334,7 +334,13 @@
                 end => {
                     let relay_end =
                         end_of_stream(end, splitter, is_framed || !is_stop_requested);
+                    let last_event = splitter.last_id().or(context.call.last_event);
                     let relay_end = match relay_end {
+                        RelayEnd::Finished(BodyEnd::Complete)
+                            if !is_framed && last_event.is_none() =>
+                        {
+                            RelayEnd::may_still_run("ended before the first event")
+                        }
                         RelayEnd::Finished(BodyEnd::Complete) if !is_framed => {
                             self.confirm_unframed_end(&upstream).await
                         }
