Bound the heads of responses to status calls, orders and the store's answers

What callers saw: requests rejected or late, and engines that got new weights more than 11 s after they were named, while one server sent interim responses without end to the status calls of its sidecar.

Cause: hyper parses interim responses in one go as long as the socket has bytes. Reads before a head were bounded for requests alone; the clients that keep connections (status calls, cache events, orders, lists, the store, the own protocol's engines and services) had no bound. The sidecar has one thread, so neither the timeout of the call nor anything else of it ran.

Fix: the limit of a response's head moves to a crate of its own, bilberry-http, with a connector for such clients. It starts with each write and ends when the client has the head, which the connection's extension of the response gives.

--- a/crates/bilberry-gateway/src/connections.rs
+++ b/crates/bilberry-gateway/src/connections.rs
@@ -8,6 +8,9 @@
 
 use bilberry_core::Clock;
 use bilberry_core::UnixMs;
+use bilberry_http::HeadLimit;
+use bilberry_http::HeadLimitedStream;
+use bilberry_http::MAX_READ_BYTES;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::HeaderMap;
@@ -24,9 +27,6 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use crate::head_limit::HeadLimit;
-use crate::head_limit::HeadLimitedStream;
-
 /// The timeout for establishing a connection.
 ///
 /// About a hundred round trips within a region. A host without power never answers, and
@@ -52,11 +52,6 @@
 /// A request sent while the upstream closes the connection would be lost.
 const IDLE_MARGIN_MS: u64 = 700;
 
-/// The largest head of a response, and the largest chunk that is read of a body.
-///
-/// Many connections to a faulty server may each hold as much.
-const MAX_READ_BYTES: usize = 128 * 1024;
-
 /// Why a request did not get a response.
 #[derive(Debug, Error)]
 pub enum SendError {
--- a/crates/bilberry-gateway/src/lib.rs
+++ b/crates/bilberry-gateway/src/lib.rs
@@ -14,7 +14,6 @@
 mod feeds;
 mod forward;
 mod gateway;
-mod head_limit;
 mod held_back;
 mod host_checks;
 mod hubs;
--- a/crates/bilberry-gateway/src/head_limit.rs
+++ b/crates/bilberry-http/src/head_limit.rs
@@ -21,28 +21,34 @@
 /// Interim responses are parsed one after the other as long as there are bytes. Without a
 /// bound, a server that sends them without end occupies the thread that reads them.
 #[derive(Debug, Clone)]
-pub(crate) struct HeadLimit(Arc<AtomicUsize>);
+pub struct HeadLimit(Arc<AtomicUsize>);
 
 /// A stream on which reads fail beyond the limit.
 #[derive(Debug)]
-pub(crate) struct HeadLimitedStream<S> {
+pub struct HeadLimitedStream<S> {
     stream: S,
     limit: HeadLimit,
 }
 
+impl Default for HeadLimit {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl HeadLimit {
     /// Creates a limit for the first response.
-    pub(crate) fn new() -> Self {
+    pub fn new() -> Self {
         Self(Arc::new(AtomicUsize::new(MAX_HEAD_BYTES)))
     }
 
     /// Expects the head of the next response.
-    pub(crate) fn start(&self) {
+    pub fn start(&self) {
         self.0.store(MAX_HEAD_BYTES, Ordering::Relaxed);
     }
 
     /// Ends the limit, as the head is complete.
-    pub(crate) fn end(&self) {
+    pub fn end(&self) {
         self.0.store(usize::MAX, Ordering::Relaxed);
     }
 
@@ -65,7 +71,7 @@
 
 impl<S> HeadLimitedStream<S> {
     /// Applies a limit to a stream.
-    pub(crate) fn new(stream: S, limit: HeadLimit) -> Self {
+    pub fn new(stream: S, limit: HeadLimit) -> Self {
         Self { stream, limit }
     }
 }
--- a/crates/bilberry-platform/src/http.rs
+++ b/crates/bilberry-platform/src/http.rs
@@ -9,6 +9,9 @@
 use bilberry_core::Clock;
 use bilberry_core::SystemClock;
 use bilberry_core::backoff_ms;
+use bilberry_http::LimitedConnector;
+use bilberry_http::MAX_READ_BYTES;
+use bilberry_http::end_head;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -50,7 +53,7 @@
 
 #[derive(Debug)]
 struct Shared {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<LimitedConnector, Full<Bytes>>,
     address: SocketAddr,
     call_ms: u64,
     max_open_ms: u64,
@@ -75,7 +78,8 @@
         connector.set_connect_timeout(Some(Duration::from_millis(call_ms)));
         let client = Client::builder(TokioExecutor::new())
             .retry_canceled_requests(false)
-            .build(connector);
+            .http1_max_buf_size(MAX_READ_BYTES)
+            .build(LimitedConnector::new(connector));
         let health = Mutex::new(Health::default());
         let shared = Shared { client, address, call_ms, max_open_ms, health };
         Self { shared: Arc::new(shared) }
@@ -164,6 +168,7 @@
         let request = request.body(Full::new(body)).map_err(|error| error.to_string())?;
         let sent = self.shared.client.request(request).await;
         let response = sent.map_err(|error| error.to_string())?;
+        end_head(&response);
         let (head, body) = response.into_parts();
         let body = Limited::new(body, MAX_RESPONSE_BYTES);
         let body = body.collect().await.map_err(|error| error.to_string())?;
--- a/crates/bilberry-sidecar/src/engine_http.rs
+++ b/crates/bilberry-sidecar/src/engine_http.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use bilberry_core::Fingerprint;
+use bilberry_http::LimitedConnector;
+use bilberry_http::MAX_READ_BYTES;
 use bytes::Bytes;
 use bytes::BytesMut;
 use http_body_util::Full;
@@ -98,7 +100,9 @@
 impl HttpEngine {
     /// Creates a client; does not connect yet.
     pub fn new(address: SocketAddr) -> Self {
-        let client = Client::builder(TokioExecutor::new()).build_http();
+        let client = Client::builder(TokioExecutor::new())
+            .http1_max_buf_size(MAX_READ_BYTES)
+            .build(LimitedConnector::default());
         Self { client, address }
     }
 
--- a/crates/bilberry-sidecar/src/exchange.rs
+++ b/crates/bilberry-sidecar/src/exchange.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use bilberry_http::LimitedConnector;
+use bilberry_http::end_head;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -10,14 +12,13 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
 use tokio::time::timeout;
 
 use crate::EngineError;
 use crate::PlainError;
 
 /// A client for requests with complete bodies.
-pub(crate) type HttpClient = Client<HttpConnector, Full<Bytes>>;
+pub(crate) type HttpClient = Client<LimitedConnector, Full<Bytes>>;
 
 /// The reason why a request got no response.
 #[derive(Debug)]
@@ -34,7 +35,10 @@
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, ExchangeError> {
     match client.request(request).await {
-        Ok(response) => Ok(response),
+        Ok(response) => {
+            end_head(&response);
+            Ok(response)
+        }
         // Only if no connection was established is it certain that the request did not
         // run.
         Err(error) if error.is_connect() => {
--- a/crates/bilberry-sidecar/src/plain.rs
+++ b/crates/bilberry-sidecar/src/plain.rs
@@ -3,6 +3,8 @@
 use std::future::Future;
 use std::net::SocketAddr;
 
+use bilberry_http::LimitedConnector;
+use bilberry_http::MAX_READ_BYTES;
 use bilberry_wire::PlainAnswer;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -73,7 +75,8 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_max_idle_per_host(0)
             .retry_canceled_requests(false)
-            .build_http();
+            .http1_max_buf_size(MAX_READ_BYTES)
+            .build(LimitedConnector::default());
         Self { client, address }
     }
 }
