--- a/crates/bilberry-gateway/src/connections.rs
+++ b/crates/bilberry-gateway/src/connections.rs
@@ -8,9 +8,9 @@
 
 use bilberry_core::Clock;
 use bilberry_core::UnixMs;
-use bilberry_http::HeadLimit;
-use bilberry_http::HeadLimitedStream;
-use bilberry_http::MAX_READ_BYTES;
+use bilberry_platform::HeadLimit;
+use bilberry_platform::HeadLimitedStream;
+use bilberry_platform::MAX_READ_BYTES;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::HeaderMap;
--- a/crates/bilberry-http/src/head_limit.rs
+++ b/crates/bilberry-platform/src/head_limit.rs
@@ -16,6 +16,11 @@
 /// The bytes of interim responses and a head that are read, and of the body with them.
 const MAX_HEAD_BYTES: usize = 256 * 1024;
 
+/// The largest head of a response, and the largest chunk that is read of a body.
+///
+/// Many connections to a faulty server may each hold as much.
+pub const MAX_READ_BYTES: usize = 128 * 1024;
+
 /// How much may be read from a connection until the head of a response is complete.
 ///
 /// Interim responses are parsed one after the other as long as there are bytes. Without a
--- a/crates/bilberry-platform/src/http.rs
+++ b/crates/bilberry-platform/src/http.rs
@@ -9,21 +9,14 @@
 use bilberry_core::Clock;
 use bilberry_core::SystemClock;
 use bilberry_core::backoff_ms;
-use bilberry_http::LimitedConnector;
-use bilberry_http::MAX_READ_BYTES;
-use bilberry_http::end_head;
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header::CONTENT_TYPE;
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use hyper::header::HOST;
 use serde::Deserialize;
 use tokio::time::timeout;
 
@@ -32,6 +25,7 @@
 use crate::Object;
 use crate::Platform;
 use crate::PlatformError;
+use crate::connections::Connections;
 
 /// The maximum size of a response body.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -53,7 +47,7 @@
 
 #[derive(Debug)]
 struct Shared {
-    client: Client<LimitedConnector, Full<Bytes>>,
+    connections: Connections,
     address: SocketAddr,
     call_ms: u64,
     max_open_ms: u64,
@@ -73,15 +67,9 @@
     /// Calls time out after `call_ms`; the circuit breaker stays open for at most
     /// `max_open_ms`.
     pub fn new(address: SocketAddr, call_ms: u64, max_open_ms: u64) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(Duration::from_millis(call_ms)));
-        let client = Client::builder(TokioExecutor::new())
-            .retry_canceled_requests(false)
-            .http1_max_buf_size(MAX_READ_BYTES)
-            .build(LimitedConnector::new(connector));
+        let connections = Connections::new(address, call_ms, MAX_RESPONSE_BYTES);
         let health = Mutex::new(Health::default());
-        let shared = Shared { client, address, call_ms, max_open_ms, health };
+        let shared = Shared { connections, address, call_ms, max_open_ms, health };
         Self { shared: Arc::new(shared) }
     }
 
@@ -158,7 +146,8 @@
     ) -> Result<Response<Bytes>, String> {
         let mut request = Request::builder()
             .method(method)
-            .uri(format!("http://{}{path}", self.shared.address));
+            .uri(path)
+            .header(HOST, self.shared.address.to_string());
         for (name, value) in headers {
             request = request.header(*name, value);
         }
@@ -166,13 +155,7 @@
             request = request.header(CONTENT_TYPE, "application/json");
         }
         let request = request.body(Full::new(body)).map_err(|error| error.to_string())?;
-        let sent = self.shared.client.request(request).await;
-        let response = sent.map_err(|error| error.to_string())?;
-        end_head(&response);
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_RESPONSE_BYTES);
-        let body = body.collect().await.map_err(|error| error.to_string())?;
-        Ok(Response::from_parts(head, body.to_bytes()))
+        self.shared.connections.exchange(request).await
     }
 
     /// Rejects the call immediately while the circuit breaker is open.
--- a/crates/bilberry-platform/src/lib.rs
+++ b/crates/bilberry-platform/src/lib.rs
@@ -4,12 +4,17 @@
 //! call has a deadline, and a circuit breaker rejects calls immediately while the
 //! platform is down.
 
+mod connections;
 mod error;
+mod head_limit;
 mod http;
 mod object;
 mod port;
 
 pub use error::PlatformError;
+pub use head_limit::HeadLimit;
+pub use head_limit::HeadLimitedStream;
+pub use head_limit::MAX_READ_BYTES;
 pub use http::HttpPlatform;
 pub use http::StoreClient;
 pub use object::HostEntry;
--- a/crates/bilberry-http/src/connector.rs
+++ b/crates/bilberry-sidecar/src/connector.rs
@@ -5,6 +5,8 @@
 use std::task::Context;
 use std::task::Poll;
 
+use bilberry_platform::HeadLimit;
+use bilberry_platform::HeadLimitedStream;
 use hyper::Response;
 use hyper::Uri;
 use hyper::rt::Read;
@@ -17,29 +19,21 @@
 use tokio::net::TcpStream;
 use tower_service::Service;
 
-use crate::HeadLimit;
-use crate::HeadLimitedStream;
-
-/// The largest head of a response, and the largest chunk that is read of a body.
-///
-/// Many connections to a faulty server may each hold as much.
-pub const MAX_READ_BYTES: usize = 128 * 1024;
-
 /// Opens TCP connections whose responses have bounded heads.
 ///
 /// A client of this connector calls [`end_head`] with each response.
 #[derive(Debug, Clone)]
-pub struct LimitedConnector(HttpConnector);
+pub(crate) struct LimitedConnector(HttpConnector);
 
 /// A TCP connection on which reads before the head of a response are bounded.
 #[derive(Debug)]
-pub struct LimitedConnection {
+pub(crate) struct LimitedConnection {
     stream: TokioIo<HeadLimitedStream<TcpStream>>,
     limit: HeadLimit,
 }
 
 /// Ends the limit of a response's head, which is complete.
-pub fn end_head<B>(response: &Response<B>) {
+pub(crate) fn end_head<B>(response: &Response<B>) {
     if let Some(limit) = response.extensions().get::<HeadLimit>() {
         limit.end();
     }
@@ -47,7 +41,7 @@
 
 impl LimitedConnector {
     /// Creates a connector on top of a connector without limits.
-    pub fn new(connector: HttpConnector) -> Self {
+    pub(crate) fn new(connector: HttpConnector) -> Self {
         Self(connector)
     }
 }
--- a/crates/bilberry-sidecar/src/engine_http.rs
+++ b/crates/bilberry-sidecar/src/engine_http.rs
@@ -7,8 +7,7 @@
 use std::time::Duration;
 
 use bilberry_core::Fingerprint;
-use bilberry_http::LimitedConnector;
-use bilberry_http::MAX_READ_BYTES;
+use bilberry_platform::MAX_READ_BYTES;
 use bytes::Bytes;
 use bytes::BytesMut;
 use http_body_util::Full;
@@ -31,6 +30,7 @@
 use crate::EngineError;
 use crate::EngineInfo;
 use crate::Snapshot;
+use crate::connector::LimitedConnector;
 use crate::exchange::HttpClient;
 use crate::exchange::exchange;
 use crate::exchange::read_body;
--- a/crates/bilberry-sidecar/src/exchange.rs
+++ b/crates/bilberry-sidecar/src/exchange.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use bilberry_http::LimitedConnector;
-use bilberry_http::end_head;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -16,6 +14,8 @@
 
 use crate::EngineError;
 use crate::PlainError;
+use crate::connector::LimitedConnector;
+use crate::connector::end_head;
 
 /// A client for requests with complete bodies.
 pub(crate) type HttpClient = Client<LimitedConnector, Full<Bytes>>;
--- a/crates/bilberry-sidecar/src/lib.rs
+++ b/crates/bilberry-sidecar/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempts;
 mod cache;
 mod completion;
+mod connector;
 mod engine;
 mod engine_http;
 mod engine_view;
--- a/crates/bilberry-sidecar/src/plain.rs
+++ b/crates/bilberry-sidecar/src/plain.rs
@@ -3,8 +3,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 
-use bilberry_http::LimitedConnector;
-use bilberry_http::MAX_READ_BYTES;
+use bilberry_platform::MAX_READ_BYTES;
 use bilberry_wire::PlainAnswer;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -14,6 +13,7 @@
 use hyper_util::rt::TokioExecutor;
 use thiserror::Error;
 
+use crate::connector::LimitedConnector;
 use crate::exchange::HttpClient;
 use crate::exchange::exchange;
 use crate::exchange::read_body;
