--- a/crates/bilberry-config/src/settings.rs
+++ b/crates/bilberry-config/src/settings.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 
 use bilberry_core::DataCentre;
+use bilberry_core::HostResources;
 use bilberry_core::Name;
 use serde::Deserialize;
 
@@ -128,6 +129,10 @@
     pub probe_ms: u64,
     /// The maximum number of callers' connections.
     pub connections: usize,
+    /// The memory that the process may use, in MB of 10^6 bytes.
+    pub memory_mb: f64,
+    /// The maximum number of open descriptors.
+    pub descriptors: usize,
 }
 
 /// Logging.
@@ -173,6 +178,12 @@
         Ok(settings)
     }
 
+    /// Returns what the process may use on its host.
+    pub fn resources(&self) -> HostResources {
+        HostResources::new(self.limits.memory_mb, self.limits.descriptors)
+            .expect("the limits are validated when the settings are parsed")
+    }
+
     /// Returns the data centre.
     pub fn parsed_place(&self) -> DataCentre {
         DataCentre::parse(&self.place)
@@ -183,6 +194,7 @@
         self.check_names()?;
         self.check_role()?;
         self.check_addresses()?;
+        self.check_resources()?;
         self.check_log()
     }
 
@@ -249,6 +261,23 @@
         Ok(())
     }
 
+    fn check_resources(&self) -> Result<(), (&'static str, String, &'static str)> {
+        let Limits { memory_mb, descriptors, .. } = self.limits;
+        match HostResources::new(memory_mb, descriptors) {
+            Some(_) => Ok(()),
+            None if descriptors < HostResources::MIN_DESCRIPTORS => Err((
+                "limits.descriptors",
+                format!("is {descriptors}, which is too few"),
+                "allow 256 or more",
+            )),
+            None => Err((
+                "limits.memory_mb",
+                format!("is {memory_mb}, which is too little"),
+                "allow 32 or more",
+            )),
+        }
+    }
+
     fn check_log(&self) -> Result<(), (&'static str, String, &'static str)> {
         match self.log.level.as_str() {
             "error" | "warn" | "info" | "debug" | "trace" => Ok(()),
@@ -283,6 +312,8 @@
             stop_ms: 60_000,
             probe_ms: 10,
             connections: 10_000,
+            memory_mb: HostResources::DEFAULT_MEMORY_MB,
+            descriptors: HostResources::DEFAULT_DESCRIPTORS,
         }
     }
 }
--- a/crates/bilberryd/tests/check.rs
+++ b/crates/bilberryd/tests/check.rs
@@ -70,6 +70,15 @@
     insta::assert_snapshot!(error_message(&text), @"entry.toml: key `upstream`: is missing; add a table with the `name` and `address` of the upstream");
 }
 
+#[test]
+fn too_little_memory_or_descriptors_are_rejected() {
+    let with =
+        |limit: &str| error_message(&format!("{VALID_SETTINGS}[limits]\n{limit}\n"));
+    insta::assert_snapshot!(with("memory_mb = 8.0"), @"entry.toml: key `limits.memory_mb`: is 8, which is too little; allow 32 or more");
+    insta::assert_snapshot!(with("memory_mb = nan"), @"entry.toml: key `limits.memory_mb`: is NaN, which is too little; allow 32 or more");
+    insta::assert_snapshot!(with("descriptors = 40"), @"entry.toml: key `limits.descriptors`: is 40, which is too few; allow 256 or more");
+}
+
 #[test]
 fn a_missing_file_exits_with_code_two() {
     let output = Command::new(env!("CARGO_BIN_EXE_bilberryd"))
