Add tests of clients that send more than a process can hold

Real processes on loopback, one test at a time; memory (resident, and received and unread), descriptors, that the process lives and that one ordinary request is answered; no times and no shares. Heads over the limit and without end, empty lines without end, bodies whole, in pieces, chunked large and very small, most one piece short and left open; callers that read nothing; silent connections; listeners of readiness, metrics, peers and administration; a stop; requests read whole beside a crowd; refusals; and one request at each limit in calm, which passes.

--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -3,15 +3,18 @@
 //! Starts real processes on loopback, and can kill, suspend and partition them.
 
 mod caller;
+mod crowd;
 mod fleet;
 mod http;
 mod plan;
 mod process;
 mod proxy;
+mod resources;
 
 pub use caller::Answer;
 pub use caller::Caller;
 pub use caller::Streaming;
+pub use crowd::Crowd;
 pub use fleet::Fleet;
 pub use http::Reply;
 pub use http::get;
@@ -20,6 +23,8 @@
 pub use process::ChildProcess;
 pub use process::program_path;
 pub use proxy::FaultProxy;
+pub use resources::Peak;
+pub use resources::ResourceWatch;
 
 use std::time::Duration;
 
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -19,6 +19,7 @@
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
 
+use crate::ResourceWatch;
 use crate::WAIT_TIMEOUT;
 
 /// First port of the range that tests allocate from.
@@ -57,6 +58,17 @@
         self.addresses[what]
     }
 
+    /// Watches the memory and the descriptors of the process.
+    pub fn watch_resources(&self) -> ResourceWatch {
+        let listeners = self.addresses.values().copied().collect();
+        ResourceWatch::start(self.child.id(), listeners)
+    }
+
+    /// Returns whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_some())
+    }
+
     /// Kills the process with `SIGKILL` and reaps it.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
