Decide on the memory and the connections that clients make a process hold

limits.body_bytes has to fit into the memory for callers; a typed error says how much fits. Defaults: 1,024 MB and 16,384 descriptors, which hold as many callers as before.

--- a/crates/bilberry-config/src/lib.rs
+++ b/crates/bilberry-config/src/lib.rs
@@ -32,6 +32,7 @@
 pub use piece::Upstream;
 pub use piece::UpstreamKind;
 pub use settings::Administrator;
+pub use settings::BODY_COPIES;
 pub use settings::Limits;
 pub use settings::Listen;
 pub use settings::LogSettings;
--- a/crates/bilberry-config/src/settings.rs
+++ b/crates/bilberry-config/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use bilberry_core::ClientLimits;
 use bilberry_core::DataCentre;
 use bilberry_core::HostResources;
 use bilberry_core::Name;
@@ -12,6 +13,10 @@
 use crate::SettingsError;
 use crate::error::describe_toml_error;
 
+/// How many times its size a completion request holds at an entry: its body as received,
+/// the prompt, the request to the engine and the frame that carries it.
+pub const BODY_COPIES: u64 = 4;
+
 /// The settings of one process.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -262,9 +267,9 @@
     }
 
     fn check_resources(&self) -> Result<(), (&'static str, String, &'static str)> {
-        let Limits { memory_mb, descriptors, .. } = self.limits;
+        let Limits { memory_mb, descriptors, body_bytes, .. } = self.limits;
         match HostResources::new(memory_mb, descriptors) {
-            Some(_) => Ok(()),
+            Some(resources) => check_body(body_bytes, resources),
             None if descriptors < HostResources::MIN_DESCRIPTORS => Err((
                 "limits.descriptors",
                 format!("is {descriptors}, which is too few"),
@@ -290,6 +295,22 @@
     }
 }
 
+/// Checks that the largest body fits into the memory for callers.
+fn check_body(
+    body_bytes: usize,
+    resources: HostResources,
+) -> Result<(), (&'static str, String, &'static str)> {
+    let most_bytes = ClientLimits::callers(resources).max_request_bytes() / BODY_COPIES;
+    match body_bytes as u64 <= most_bytes {
+        true => Ok(()),
+        false => Err((
+            "limits.body_bytes",
+            format!("is {body_bytes}, and the memory holds bodies of {most_bytes}"),
+            "lower it, or raise `limits.memory_mb`",
+        )),
+    }
+}
+
 impl Default for PeerSettings {
     fn default() -> Self {
         Self {
--- a/crates/bilberry-core/src/host_resources.rs
+++ b/crates/bilberry-core/src/host_resources.rs
@@ -17,10 +17,10 @@
     pub const MIN_DESCRIPTORS: usize = 256;
 
     /// The memory if the settings name none, in MB of 10^6 bytes.
-    pub const DEFAULT_MEMORY_MB: f64 = 512.0;
+    pub const DEFAULT_MEMORY_MB: f64 = 1_024.0;
 
     /// The number of descriptors if the settings name none.
-    pub const DEFAULT_DESCRIPTORS: usize = 4_096;
+    pub const DEFAULT_DESCRIPTORS: usize = 16_384;
 
     /// Returns the resources, or `None` if the memory or the descriptors are too few.
     pub fn new(memory_mb: f64, descriptors: usize) -> Option<Self> {
