--- a/crates/bilberry-entry/src/admin.rs
+++ b/crates/bilberry-entry/src/admin.rs
@@ -6,6 +6,8 @@
 use bilberry_config::Administrator;
 use bilberry_config::Folder;
 use bilberry_core::Name;
+use bilberry_node::BodyLimits;
+use bilberry_node::ClientBody;
 use bilberry_node::HttpHandler;
 use bilberry_node::ResponseBody;
 use bilberry_node::json_response;
@@ -18,7 +20,6 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use serde::Serialize;
 
 use crate::ApiError;
@@ -36,6 +37,9 @@
 /// The maximum time for receiving a configuration folder.
 const FOLDER_TIMEOUT_MS: u64 = 30_000;
 
+/// How many times its size a folder is held while it is checked.
+const FOLDER_COPIES: u64 = 3;
+
 /// The time to wait for the answer of a sidecar to a drain request.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(2_000);
 
@@ -60,7 +64,7 @@
 
     async fn dispatch(
         &self,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
     ) -> Result<Response<ResponseBody>, ApiError> {
         let author = self.authorise(request.headers())?;
         let method = request.method().clone();
@@ -135,7 +139,7 @@
 impl<P: Platform, K: UpstreamProber> HttpHandler for Admin<P, K> {
     async fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
     ) -> Response<ResponseBody> {
         match self.dispatch(request).await {
             Ok(response) => response,
@@ -144,11 +148,16 @@
     }
 }
 
-async fn read_folder(request: Request<Incoming>) -> Result<Folder, ApiError> {
+async fn read_folder(request: Request<ClientBody>) -> Result<Folder, ApiError> {
     let refuse = |message| ApiError::not_run(ErrorKind::Invalid, "invalid_body", message);
-    let body = read_body(request.into_body(), MAX_FOLDER_BYTES, FOLDER_TIMEOUT_MS).await;
+    let limits = BodyLimits {
+        max_bytes: MAX_FOLDER_BYTES,
+        timeout_ms: FOLDER_TIMEOUT_MS,
+        copies: FOLDER_COPIES,
+    };
+    let body = read_body(request.into_body(), limits).await;
     let body = body.map_err(|error| refuse(error.to_string()))?;
-    serde_json::from_slice(&body).map_err(|error| {
+    serde_json::from_slice(&body.to_bytes()).map_err(|error| {
         refuse(format!("the body is no folder: {error}; send {{\"files\": [...]}}"))
     })
 }
--- a/crates/bilberry-entry/src/completion.rs
+++ b/crates/bilberry-entry/src/completion.rs
@@ -5,6 +5,7 @@
 
 use bilberry_core::Name;
 use bilberry_node::BodyChunk;
+use bilberry_node::RequestBody;
 use bilberry_node::ResponseBody;
 use bilberry_platform::Platform;
 use bytes::Bytes;
@@ -33,11 +34,13 @@
     /// Handles a completion request.
     pub(crate) async fn complete(
         self: Arc<Self>,
-        admitted: Admitted<P, K>,
+        mut admitted: Admitted<P, K>,
         style: CompletionStyle,
-        body: &[u8],
+        body: RequestBody,
     ) -> Result<Response<ResponseBody>, ApiError> {
-        let request = CompletionRequest::parse(style, body)?;
+        let request = CompletionRequest::parse(style, &body.to_bytes())?;
+        admitted.charge = body.charge();
+        drop(body);
         let Admitted { compiled, customer, deadline, id, .. } = &admitted;
         let configured = compiled.models.get(&request.model);
         let model = configured
--- a/crates/bilberry-entry/src/entry.rs
+++ b/crates/bilberry-entry/src/entry.rs
@@ -14,6 +14,8 @@
 use bilberry_core::SystemClock;
 use bilberry_core::UnixMs;
 use bilberry_core::retry_after_ms;
+use bilberry_node::ClientBody;
+use bilberry_node::ClientCharge;
 use bilberry_node::Node;
 use bilberry_node::PeerHandler;
 use bilberry_node::PeerPool;
@@ -24,6 +26,7 @@
 use bilberry_wire::Role;
 use bilberry_wire::StatusResponse;
 use hyper::HeaderMap;
+use hyper::Request;
 use tokio_util::task::TaskTracker;
 
 use crate::ApiError;
@@ -102,9 +105,10 @@
     /// Authenticates a request and applies the limits of its customer.
     pub(crate) fn admit(
         self: &Arc<Self>,
-        headers: &HeaderMap,
+        request: &Request<ClientBody>,
         id: &str,
     ) -> Result<Admitted<P, K>, ApiError> {
+        let headers = request.headers();
         let compiled = self.node.config.compiled();
         if compiled.revision == 0 {
             let message = "this entry has no configuration yet; come back shortly";
@@ -129,6 +133,7 @@
             customer,
             deadline,
             id: id.to_string(),
+            charge: None,
         })
     }
 }
@@ -141,6 +146,8 @@
     pub(crate) customer: Arc<Customer>,
     pub(crate) deadline: UnixMs,
     pub(crate) id: String,
+    /// The charge for the body and its copies.
+    pub(crate) charge: Option<Arc<ClientCharge>>,
 }
 
 impl<P: Platform, K: UpstreamProber> Drop for Admitted<P, K> {
--- a/crates/bilberry-entry/src/http_api.rs
+++ b/crates/bilberry-entry/src/http_api.rs
@@ -2,20 +2,22 @@
 
 use std::sync::Arc;
 
+use bilberry_config::BODY_COPIES;
+use bilberry_core::retry_after_ms;
+use bilberry_node::BodyLimits;
+use bilberry_node::ClientBody;
 use bilberry_node::HttpHandler;
 use bilberry_node::ReadBodyError;
+use bilberry_node::RequestBody;
 use bilberry_node::ResponseBody;
 use bilberry_node::json_response;
 use bilberry_node::read_body;
 use bilberry_platform::Platform;
-use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Body;
-use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use serde::Serialize;
 
@@ -48,7 +50,7 @@
 impl<P: Platform, K: UpstreamProber> HttpHandler for Entry<P, K> {
     async fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
     ) -> Response<ResponseBody> {
         let id = request_id(request.headers());
         let result = self.clone().dispatch(request, &id).await;
@@ -70,7 +72,7 @@
 impl<P: Platform, K: UpstreamProber> Entry<P, K> {
     async fn dispatch(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
         id: &str,
     ) -> Result<Response<ResponseBody>, ApiError> {
         let path = request.uri().path();
@@ -98,28 +100,29 @@
 
     async fn handle_completion(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
         id: &str,
         style: CompletionStyle,
     ) -> Result<Response<ResponseBody>, ApiError> {
-        let admitted = self.admit(request.headers(), id)?;
-        let body = self.read(request).await?;
-        self.complete(admitted, style, &body).await
+        let admitted = self.admit(&request, id)?;
+        let body = self.read(request, BODY_COPIES).await?;
+        self.complete(admitted, style, body).await
     }
 
-    /// Reads the body of a request, within the limits on size and time.
+    /// Reads the body of a request, within the limits on size, time and memory.
+    ///
+    /// The request holds `copies` times its size while it is served.
     pub(crate) async fn read(
         &self,
-        request: Request<Incoming>,
-    ) -> Result<Bytes, ApiError> {
-        let max_bytes = self.limits.max_body_bytes;
-        // A body whose declared length exceeds the limit is rejected before it is read.
-        if request.body().size_hint().lower() > max_bytes as u64 {
-            return Err(body_error(ReadBodyError::TooLarge(max_bytes)));
-        }
-        let read =
-            read_body(request.into_body(), max_bytes, self.limits.body_timeout_ms).await;
-        read.map_err(body_error)
+        request: Request<ClientBody>,
+        copies: u64,
+    ) -> Result<RequestBody, ApiError> {
+        let limits = BodyLimits {
+            max_bytes: self.limits.max_body_bytes,
+            timeout_ms: self.limits.body_timeout_ms,
+            copies,
+        };
+        read_body(request.into_body(), limits).await.map_err(body_error)
     }
 
     fn list_models(
@@ -140,8 +143,11 @@
         ReadBodyError::TooLarge(_) => (ErrorKind::TooLarge, "body_too_large"),
         ReadBodyError::Timeout(_) => (ErrorKind::SlowRequest, "body_too_slow"),
         ReadBodyError::Incomplete => (ErrorKind::Invalid, "body_incomplete"),
+        ReadBodyError::NoRoom(_) => (ErrorKind::Unavailable, "no_memory"),
     };
-    ApiError::not_run(kind, code, error.to_string())
+    let retry_after_ms = (code == "no_memory").then(|| retry_after_ms(0, rand::random()));
+    let error = ApiError::not_run(kind, code, error.to_string());
+    ApiError { retry_after_ms, ..error }
 }
 
 /// Returns the request ID set by the caller if it is valid, or a random one.
--- a/crates/bilberry-entry/src/plain.rs
+++ b/crates/bilberry-entry/src/plain.rs
@@ -7,12 +7,13 @@
 
 use bilberry_config::Service;
 use bilberry_core::Name;
+use bilberry_node::ClientBody;
+use bilberry_node::ClientCharge;
 use bilberry_node::ResponseBody;
 use bilberry_platform::Platform;
 use bytes::Bytes;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 
 use self::attempt::AttemptOutcome;
@@ -30,6 +31,9 @@
 /// The maximum length of an idempotency key.
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 256;
 
+/// How many times its size a call holds: its body, and the frame that carries it.
+const CALL_COPIES: u64 = 3;
+
 /// The maximum number of attempts of a repeatable call.
 const MAX_ATTEMPTS: usize = 3;
 
@@ -42,6 +46,8 @@
     content_type: String,
     key: Option<String>,
     body: Bytes,
+    /// The charge for the body and its copies.
+    _charge: Option<Arc<ClientCharge>>,
 }
 
 impl ServiceCall {
@@ -55,10 +61,10 @@
     /// Handles a call to a plain service.
     pub(crate) async fn handle_service_call(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
         id: &str,
     ) -> Result<Response<ResponseBody>, ApiError> {
-        let admitted = self.admit(request.headers(), id)?;
+        let admitted = self.admit(&request, id)?;
         let call = self.read_call(&admitted, request).await?;
         let non_repeatable = !call.is_repeatable();
         // The call runs in its own task, so that it completes and its outcome is
@@ -83,7 +89,7 @@
     async fn read_call(
         &self,
         admitted: &Admitted<P, K>,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
     ) -> Result<ServiceCall, ApiError> {
         let rest = request.uri().path().strip_prefix("/services/").unwrap_or_default();
         let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
@@ -102,13 +108,17 @@
         let key = idempotency_key(&request)?;
         let content_type = request.headers().get(CONTENT_TYPE);
         let content_type = content_type.and_then(|value| value.to_str().ok());
+        let content_type = content_type.unwrap_or_default().to_string();
+        let method = request.method().to_string();
+        let body = self.read(request, CALL_COPIES).await?;
         Ok(ServiceCall {
             service,
-            method: request.method().to_string(),
+            method,
             path,
-            content_type: content_type.unwrap_or_default().to_string(),
+            content_type,
             key,
-            body: self.read(request).await?,
+            _charge: body.charge(),
+            body: body.to_bytes(),
         })
     }
 
@@ -145,7 +155,7 @@
     }
 }
 
-fn idempotency_key(request: &Request<Incoming>) -> Result<Option<String>, ApiError> {
+fn idempotency_key(request: &Request<ClientBody>) -> Result<Option<String>, ApiError> {
     let Some(value) = request.headers().get(IDEMPOTENCY_KEY_HEADER) else {
         return Ok(None);
     };
--- a/crates/bilberry-gateway/src/connections.rs
+++ b/crates/bilberry-gateway/src/connections.rs
@@ -8,11 +8,10 @@
 
 use bilberry_core::Clock;
 use bilberry_core::UnixMs;
+use bilberry_node::RequestBody;
 use bilberry_platform::HeadLimit;
 use bilberry_platform::HeadLimitedStream;
 use bilberry_platform::MAX_READ_BYTES;
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
@@ -100,7 +99,7 @@
 #[derive(Debug)]
 pub struct Connection {
     address: SocketAddr,
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<RequestBody>,
     head_limit: HeadLimit,
     driver: JoinHandle<()>,
 }
@@ -189,7 +188,7 @@
     /// Sends a request and waits for the head of the response.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, SendError> {
         self.head_limit.start();
         let sent = self.sender.try_send_request(request).await;
--- a/crates/bilberry-gateway/src/dispatch.rs
+++ b/crates/bilberry-gateway/src/dispatch.rs
@@ -8,8 +8,7 @@
 use bilberry_core::UnixMs;
 use bilberry_core::choose_source;
 use bilberry_core::should_save;
-use bytes::Bytes;
-use http_body_util::Full;
+use bilberry_node::RequestBody;
 use hyper::Request;
 use hyper::Version;
 
@@ -35,7 +34,7 @@
         reservation: &mut Reservation,
         last_event: Option<u64>,
         resume_from: Option<KvCacheCopy>,
-    ) -> Request<Full<Bytes>> {
+    ) -> Request<RequestBody> {
         let now = self.clock.now();
         let is_engine = context.pool.engine.is_some();
         let mut dispatch = Dispatch {
@@ -52,7 +51,7 @@
             self.set_cache_fields(context, reservation, weights, &mut dispatch);
         }
         let headers = self.dialect.request_headers(&context.headers, &dispatch);
-        let mut request = Request::new(Full::new(context.body.clone()));
+        let mut request = Request::new(context.body.clone());
         *request.method_mut() = context.method.clone();
         *request.uri_mut() = context.uri.clone();
         *request.version_mut() = Version::HTTP_11;
--- a/crates/bilberry-gateway/src/metrics.rs
+++ b/crates/bilberry-gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Mutex;
 
+use bilberry_node::ClientMetrics;
 use bilberry_node::EraChanges;
 use bilberry_node::UnreadableObjects;
 use bilberry_node::render_metrics;
@@ -101,6 +102,8 @@
     pub era_changes: EraChanges,
     /// Log lines that were dropped.
     pub dropped_lines: Counter,
+    /// What callers make the process hold.
+    pub clients: ClientMetrics,
 }
 
 impl GatewayMetrics {
@@ -141,6 +144,7 @@
             unreadable: UnreadableObjects::default(),
             era_changes: EraChanges::default(),
             dropped_lines: Counter::default(),
+            clients: ClientMetrics::default(),
         };
         metrics.register();
         metrics
@@ -213,6 +217,7 @@
         self.era_changes.register(&mut registry);
         let dropped = self.dropped_lines.clone();
         registry.register("dropped_lines", "Log lines dropped", dropped);
+        self.clients.register(&mut registry);
     }
 
     /// Counts the outcome of a request.
--- a/crates/bilberry-gateway/src/refusal.rs
+++ b/crates/bilberry-gateway/src/refusal.rs
@@ -26,6 +26,11 @@
     /// The body is too large.
     #[error("the body is over {0} bytes; shorten it")]
     BodyTooLarge(usize),
+    /// The process has no memory for the rest of the body.
+    #[error(
+        "this entry has no memory for the rest of the body; come back on a new connection"
+    )]
+    NoMemory,
     /// The body did not arrive completely.
     #[error("the body did not arrive whole; send it again")]
     BodyIncomplete,
@@ -109,6 +114,7 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::QuotaExceeded { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::NotReady
+            | Self::NoMemory
             | Self::KeysUnconfirmed
             | Self::NoCapacity
             | Self::NoWeights
@@ -135,6 +141,7 @@
             Self::BadRequest(_) => "bad_request",
             Self::HeadTooLarge(_) => "large_head",
             Self::BodyTooLarge(_) => "large_body",
+            Self::NoMemory => "no_memory",
             Self::BodyIncomplete => "broken_body",
             Self::NotReady => "not_ready",
             Self::KeysUnconfirmed => "keys_unsure",
@@ -166,8 +173,11 @@
                 headers.insert(RETRY_AFTER, value);
             }
         }
-        if matches!(self, Self::NotReady | Self::KeysUnconfirmed | Self::QuotaUnknown) {
-            // A new connection may lead the caller to an entry with fresher state.
+        if matches!(
+            self,
+            Self::NotReady | Self::NoMemory | Self::KeysUnconfirmed | Self::QuotaUnknown
+        ) {
+            // A new connection may lead the caller to an entry that can serve it.
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
--- a/crates/bilberry-gateway/src/request_context.rs
+++ b/crates/bilberry-gateway/src/request_context.rs
@@ -7,7 +7,8 @@
 use bilberry_core::PredictedTimes;
 use bilberry_core::RequestKey;
 use bilberry_core::UnixMs;
-use bytes::Bytes;
+use bilberry_node::ClientConnection;
+use bilberry_node::RequestBody;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Uri;
@@ -37,6 +38,8 @@
 /// The state of a request while the entry handles it.
 #[derive(Debug, Clone)]
 pub struct RequestContext {
+    /// The caller's connection, to which what is held for the request is charged.
+    pub client: Arc<ClientConnection>,
     /// The decoded headers of the caller.
     pub call: RequestMetadata,
     /// The matching route.
@@ -54,7 +57,7 @@
     /// The caller's headers.
     pub headers: HeaderMap,
     /// The body.
-    pub body: Bytes,
+    pub body: RequestBody,
     /// The key shared by all attempts of the request; set once the body is read.
     pub key: RequestKey,
     /// The shared parts of the prompt as possible causes of crashes, in prompt order; set
@@ -201,13 +204,9 @@
         let customer = self.customer.as_ref().map_or("", |customer| &customer.name);
         let host = self.headers.get(HOST).map_or(&[][..], |host| host.as_bytes());
         let path = self.uri.path_and_query().map_or("", |path| path.as_str());
-        RequestKey::from_parts(&[
-            customer.as_bytes(),
-            self.method.as_str().as_bytes(),
-            host,
-            path.as_bytes(),
-            &self.body,
-        ])
+        let parts =
+            [customer.as_bytes(), self.method.as_str().as_bytes(), host, path.as_bytes()];
+        RequestKey::from_parts_and_segments(&parts, self.body.segments())
     }
 
     /// Returns the whole request as a possible cause of crashes.
--- a/crates/bilberry-gateway/src/run_stop.rs
+++ b/crates/bilberry-gateway/src/run_stop.rs
@@ -16,6 +16,7 @@
 use bilberry_core::ConnectOutcome;
 use bilberry_core::Name;
 use bilberry_core::RunEndReason;
+use bilberry_node::RequestBody;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use tokio::time::sleep;
@@ -169,7 +170,8 @@
         let attempt = run.attempt.clone();
         let stop = StopCall { upstream, attempt, successor: run.successor.address };
         let was_requested = run.stop_requested.swap(true, Ordering::Relaxed);
-        let response = connection.send(self.dialect.stop_call(&stop)).await.ok()?;
+        let call = self.dialect.stop_call(&stop).map(RequestBody::from);
+        let response = connection.send(call).await.ok()?;
         let status = response.status();
         self.record_control_status(&run.upstream, status, response.headers());
         let body = Limited::new(response.into_body(), MAX_STOP_REPLY_BYTES).collect();
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -6,15 +6,18 @@
 use bilberry_core::Name;
 use bilberry_core::RequestKey;
 use bilberry_core::UnixMs;
+use bilberry_node::BodyLimits;
+use bilberry_node::ClientBody;
+use bilberry_node::ClientConnection;
 use bilberry_node::ClientTimeouts;
 use bilberry_node::HttpHandler;
 use bilberry_node::ReadBodyError;
+use bilberry_node::RequestBody;
 use bilberry_node::ResponseBody;
 use bilberry_node::read_body;
 use bytes::Bytes;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
@@ -73,7 +76,7 @@
 
     async fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
     ) -> Response<ResponseBody> {
         let gateway = self.clone();
         let mut response = gateway.serve(request).await;
@@ -87,11 +90,12 @@
 impl<D: Dialect, C: Clock> Gateway<D, C> {
     async fn serve(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
     ) -> Response<ResponseBody> {
         let arrived_at = self.clock.now();
         let (head, body) = request.into_parts();
-        let checked = self.decode_and_route(head, arrived_at);
+        let client = body.client().clone();
+        let checked = self.decode_and_route(head, client, arrived_at);
         let (policy, mut context) = match checked {
             Ok(checked) => checked,
             Err((attempt, refusal)) => return self.refuse_early(&attempt, &refusal),
@@ -137,6 +141,7 @@
     fn decode_and_route(
         &self,
         head: Parts,
+        client: Arc<ClientConnection>,
         arrived_at: UnixMs,
     ) -> Result<(Arc<Policy>, RequestContext), (Name, Refusal)> {
         let call = match self.dialect.decode(&head.headers) {
@@ -144,12 +149,14 @@
             Err(bad) => return Err((Name::new(), Refusal::BadRequest(bad))),
         };
         let attempt = call.attempt.clone();
-        self.create_job(head, call, arrived_at).map_err(|refusal| (attempt, refusal))
+        let created = self.create_job(head, client, call, arrived_at);
+        created.map_err(|refusal| (attempt, refusal))
     }
 
     fn create_job(
         &self,
         head: Parts,
+        client: Arc<ClientConnection>,
         call: RequestMetadata,
         arrived_at: UnixMs,
     ) -> Result<(Arc<Policy>, RequestContext), Refusal> {
@@ -177,6 +184,7 @@
         let timeout_ms = call.timeout_ms.unwrap_or(route.timeout_ms);
         let deadline = arrived_at.plus_ms(timeout_ms.min(route.timeout_ms));
         let context = RequestContext {
+            client,
             call,
             route,
             customer,
@@ -229,18 +237,21 @@
 
     async fn read_request_body(
         &self,
-        body: Incoming,
+        body: ClientBody,
         policy: &Policy,
         context: &RequestContext,
-    ) -> Result<Bytes, Refusal> {
-        let max_bytes = policy.limits.body_bytes;
+    ) -> Result<RequestBody, Refusal> {
         let left_ms = context.deadline.ms_since(self.clock.now());
-        read_body(body, max_bytes, left_ms.min(BODY_TIMEOUT_MS)).await.map_err(|error| {
-            match error {
-                ReadBodyError::TooLarge(max_bytes) => Refusal::BodyTooLarge(max_bytes),
-                ReadBodyError::Timeout(_) => Refusal::DeadlineBeforeSend,
-                ReadBodyError::Incomplete => Refusal::BodyIncomplete,
-            }
+        let limits = BodyLimits {
+            max_bytes: policy.limits.body_bytes,
+            timeout_ms: left_ms.min(BODY_TIMEOUT_MS),
+            copies: 1,
+        };
+        read_body(body, limits).await.map_err(|error| match error {
+            ReadBodyError::TooLarge(max_bytes) => Refusal::BodyTooLarge(max_bytes),
+            ReadBodyError::Timeout(_) => Refusal::DeadlineBeforeSend,
+            ReadBodyError::Incomplete => Refusal::BodyIncomplete,
+            ReadBodyError::NoRoom(_) => Refusal::NoMemory,
         })
     }
 
--- a/crates/bilberry-gateway/src/stream_origin/incarnation_check.rs
+++ b/crates/bilberry-gateway/src/stream_origin/incarnation_check.rs
@@ -4,6 +4,7 @@
 
 use bilberry_core::Clock;
 use bilberry_core::Incarnation;
+use bilberry_node::RequestBody;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use tokio::time::timeout;
@@ -64,7 +65,7 @@
         &self,
         connection: &mut Connection,
     ) -> Option<Option<Incarnation>> {
-        let call = self.dialect.start_call(connection.address());
+        let call = self.dialect.start_call(connection.address()).map(RequestBody::from);
         let response = connection.send(call).await.ok()?;
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_REPLY_BYTES).collect();
--- /dev/null
+++ b/crates/bilberry-node/src/client_io.rs
@@ -0,0 +1,205 @@
+//! The socket of a client connection, with its timeouts.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
+
+use bilberry_core::ClientStage;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::time::Instant;
+use tokio::time::Sleep;
+use tokio::time::sleep_until;
+
+use crate::ClientConnection;
+use crate::ClientTimeouts;
+use crate::client_timeouts::ClientPhase;
+use crate::client_timeouts::Phase;
+use crate::request_body::UnreadBody;
+
+/// The largest read, for which the HTTP library keeps a buffer of at most twice the size.
+const MAX_READ_BYTES: usize = 8 * 1024;
+
+/// How long the rest of a refused request is read and discarded.
+///
+/// A connection that is closed with unread data is reset, and the client may lose the
+/// response.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How much of it is read and discarded, in bytes.
+const MAX_DISCARDED_BYTES: usize = 16 * 1024 * 1024;
+
+/// The socket of a client connection.
+#[derive(Debug)]
+pub(crate) struct ClientIo<S, T> {
+    stream: S,
+    times: T,
+    phase: Arc<ClientPhase>,
+    client: Arc<ClientConnection>,
+    unread: Arc<UnreadBody>,
+    timer: Pin<Box<Sleep>>,
+    closing: Option<Closing>,
+}
+
+/// A connection whose last response was sent.
+#[derive(Debug)]
+struct Closing {
+    deadline: Instant,
+    discarded_bytes: usize,
+}
+
+impl<S, T: Fn() -> ClientTimeouts> ClientIo<S, T> {
+    /// Wraps a socket; `times` is called for each request.
+    pub(crate) fn new(
+        stream: S,
+        times: T,
+        phase: Arc<ClientPhase>,
+        client: Arc<ClientConnection>,
+        unread: Arc<UnreadBody>,
+    ) -> Self {
+        let timer = Box::pin(sleep_until(Instant::now()));
+        Self { stream, times, phase, client, unread, timer, closing: None }
+    }
+
+    /// Polls the timer of the current phase; ready if the deadline has passed.
+    fn poll_deadline(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        self.phase.register(cx.waker());
+        let Some(deadline) = self.phase.get().deadline() else { return Poll::Pending };
+        self.poll_timer(deadline, cx)
+    }
+
+    fn poll_timer(&mut self, deadline: Instant, cx: &mut Context<'_>) -> Poll<()> {
+        if self.timer.deadline() != deadline {
+            self.timer.as_mut().reset(deadline);
+        }
+        self.timer.as_mut().poll(cx)
+    }
+}
+
+impl<S: AsyncRead + Unpin, T> ClientIo<S, T> {
+    /// Reads at most `MAX_READ_BYTES`, so that the buffer of the connection stays small.
+    fn poll_read_some(
+        &mut self,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        if buffer.remaining() <= MAX_READ_BYTES {
+            return Pin::new(&mut self.stream).poll_read(cx, buffer);
+        }
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(MAX_READ_BYTES));
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
+        let length = part.filled().len();
+        buffer.advance(length);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<S, T> AsyncRead for ClientIo<S, T>
+where
+    S: AsyncRead + Unpin,
+    T: Fn() -> ClientTimeouts + Unpin,
+{
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let io = self.get_mut();
+        let before = buffer.filled().len();
+        let Poll::Ready(read) = io.poll_read_some(cx, buffer) else {
+            // On a timeout, report the end of the stream, which closes the connection.
+            return io.poll_deadline(cx).map(Ok);
+        };
+        let has_begun = matches!(io.phase.get(), Phase::Idle { .. });
+        if has_begun && buffer.filled().len() > before {
+            io.phase.begin_head((io.times)());
+            io.client.set_stage(ClientStage::Head);
+        }
+        Poll::Ready(read)
+    }
+}
+
+impl<S, T> AsyncWrite for ClientIo<S, T>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+    T: Fn() -> ClientTimeouts + Unpin,
+{
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let io = self.get_mut();
+        ready!(Pin::new(&mut io.stream).poll_flush(cx))?;
+        // Until now, a part of the response may not have been written.
+        if matches!(io.phase.get(), Phase::Idle { .. })
+            && io.client.stage() == ClientStage::Whole
+        {
+            io.client.set_stage(ClientStage::Idle);
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let io = self.get_mut();
+        if io.closing.is_none() {
+            ready!(Pin::new(&mut io.stream).poll_shutdown(cx))?;
+            let has_unread =
+                io.unread.get() || matches!(io.phase.get(), Phase::Head { .. });
+            if !has_unread {
+                return Poll::Ready(Ok(()));
+            }
+            io.client.set_stage(ClientStage::Closing);
+            let deadline = Instant::now() + DISCARD_TIMEOUT;
+            io.closing = Some(Closing { deadline, discarded_bytes: 0 });
+        }
+        let mut scratch = [0; MAX_READ_BYTES];
+        while let Some(closing) = &mut io.closing {
+            let deadline = closing.deadline;
+            if closing.discarded_bytes >= MAX_DISCARDED_BYTES
+                || Instant::now() >= deadline
+            {
+                break;
+            }
+            let mut part = ReadBuf::new(&mut scratch);
+            match Pin::new(&mut io.stream).poll_read(cx, &mut part) {
+                Poll::Ready(Ok(())) if !part.filled().is_empty() => {
+                    closing.discarded_bytes += part.filled().len();
+                }
+                Poll::Ready(_) => break,
+                Poll::Pending => {
+                    ready!(io.poll_timer(deadline, cx));
+                    break;
+                }
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[std::io::IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/crates/bilberry-node/src/client_timeouts.rs
+++ b/crates/bilberry-node/src/client_timeouts.rs
@@ -18,12 +18,7 @@
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
-use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
-use tokio::io::ReadBuf;
 use tokio::time::Instant;
-use tokio::time::Sleep;
-use tokio::time::sleep_until;
 
 use crate::BodyAborted;
 use crate::ResponseBody;
@@ -39,7 +34,7 @@
 
 /// The state of a client connection, with the deadline for the client.
 #[derive(Debug, Copy, Clone, PartialEq, Eq)]
-enum Phase {
+pub(crate) enum Phase {
     /// The connection is idle.
     Idle { deadline: Instant },
     /// The client has begun to send a request head.
@@ -48,6 +43,16 @@
     Responding,
 }
 
+impl Phase {
+    /// Returns the deadline for the client, if it has one.
+    pub(crate) fn deadline(self) -> Option<Instant> {
+        match self {
+            Self::Idle { deadline } | Self::Head { deadline } => Some(deadline),
+            Self::Responding => None,
+        }
+    }
+}
+
 /// The phase of one connection, shared by its I/O and its responses.
 #[derive(Debug)]
 pub(crate) struct ClientPhase {
@@ -75,18 +80,20 @@
         }
     }
 
-    fn record_bytes(&self, times: ClientTimeouts) {
-        let mut phase = self.phase.lock().unwrap();
-        if matches!(*phase, Phase::Idle { .. }) {
-            *phase = Phase::Head { deadline: deadline_after(times.header_ms) };
-        }
+    /// Records that the client has begun to send a request head.
+    pub(crate) fn begin_head(&self, times: ClientTimeouts) {
+        let deadline = deadline_after(times.header_ms);
+        *self.phase.lock().unwrap() = Phase::Head { deadline };
     }
 
-    fn deadline(&self) -> Option<Instant> {
-        match *self.phase.lock().unwrap() {
-            Phase::Idle { deadline } | Phase::Head { deadline } => Some(deadline),
-            Phase::Responding => None,
-        }
+    /// Returns the current phase.
+    pub(crate) fn get(&self) -> Phase {
+        *self.phase.lock().unwrap()
+    }
+
+    /// Registers the task to wake when the phase becomes idle.
+    pub(crate) fn register(&self, waker: &Waker) {
+        *self.reader.lock().unwrap() = Some(waker.clone());
     }
 }
 
@@ -98,98 +105,6 @@
     Instant::now() + Duration::from_millis(wait_ms)
 }
 
-/// A client connection that is closed when the client exceeds a timeout.
-#[derive(Debug)]
-pub(crate) struct TimeoutIo<S, T> {
-    stream: S,
-    times: T,
-    phase: Arc<ClientPhase>,
-    timer: Pin<Box<Sleep>>,
-}
-
-impl<S, T: Fn() -> ClientTimeouts> TimeoutIo<S, T> {
-    /// Wraps a connection; `times` is called for each request.
-    pub(crate) fn new(stream: S, times: T, phase: Arc<ClientPhase>) -> Self {
-        let timer = Box::pin(sleep_until(Instant::now()));
-        Self { stream, times, phase, timer }
-    }
-
-    /// Polls the timer of the current phase; ready if the deadline has passed.
-    fn poll_deadline(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        *self.phase.reader.lock().unwrap() = Some(cx.waker().clone());
-        let Some(deadline) = self.phase.deadline() else { return Poll::Pending };
-        if self.timer.deadline() != deadline {
-            self.timer.as_mut().reset(deadline);
-        }
-        self.timer.as_mut().poll(cx)
-    }
-}
-
-impl<S, T> AsyncRead for TimeoutIo<S, T>
-where
-    S: AsyncRead + Unpin,
-    T: Fn() -> ClientTimeouts + Unpin,
-{
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        let io = self.get_mut();
-        let before = buffer.filled().len();
-        match Pin::new(&mut io.stream).poll_read(cx, buffer) {
-            Poll::Ready(read) => {
-                if buffer.filled().len() > before {
-                    io.phase.record_bytes((io.times)());
-                }
-                Poll::Ready(read)
-            }
-            // On a timeout, report the end of the stream, which closes the connection.
-            Poll::Pending => io.poll_deadline(cx).map(Ok),
-        }
-    }
-}
-
-impl<S, T> AsyncWrite for TimeoutIo<S, T>
-where
-    S: AsyncWrite + Unpin,
-    T: Unpin,
-{
-    fn poll_write(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(cx, bytes)
-    }
-
-    fn poll_flush(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffers: &[std::io::IoSlice<'_>],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, buffers)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-}
-
 /// A response body that returns the connection to the idle phase when dropped.
 #[derive(Debug)]
 pub(crate) struct TimedBody {
--- a/crates/bilberry-node/src/http.rs
+++ b/crates/bilberry-node/src/http.rs
@@ -6,9 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
+use bilberry_core::ClientLimits;
+use bilberry_core::ClientStage;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -20,17 +19,28 @@
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::GracefulShutdown;
 use serde::Serialize;
-use thiserror::Error;
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::ClientBody;
+use crate::ClientConnection;
+use crate::ClientMetrics;
 use crate::ClientTimeouts;
+use crate::Clients;
 use crate::ResponseBody;
 use crate::StartError;
+use crate::client_io::ClientIo;
 use crate::client_timeouts::ClientPhase;
 use crate::client_timeouts::TimedBody;
-use crate::client_timeouts::TimeoutIo;
+use crate::request_body::UnreadBody;
+
+/// The connections that the kernel accepts ahead of a listener.
+const LISTEN_BACKLOG: u32 = 1_024;
+
+/// The longest time that a stop waits for requests that are not read whole.
+const INCOMPLETE_REQUESTS_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Handles HTTP requests.
 pub trait HttpHandler: Send + Sync + 'static {
@@ -47,7 +57,7 @@
     /// Handles one request.
     fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
     ) -> impl Future<Output = Response<ResponseBody>> + Send;
 }
 
@@ -68,86 +78,154 @@
 pub struct GracefulServer {
     stop: tokio::sync::oneshot::Sender<()>,
     serving: tokio::task::JoinHandle<GracefulShutdown>,
+    clients: Arc<Clients>,
 }
 
 /// Listens on an address; an error names the settings key of the address.
 pub async fn bind(
     key: &'static str,
     address: SocketAddr,
+    limits: ClientLimits,
 ) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).await.map_err(|error| StartError::Listen {
+    listen(address, limits.receive_buffer_bytes).map_err(|error| StartError::Listen {
         key,
         address: address.to_string(),
         reason: error.to_string(),
     })
 }
 
+/// Listens with a receive buffer of a fixed size.
+///
+/// A receive buffer grows by itself otherwise, and holds megabytes that nobody reads.
+/// Connections inherit the size only if it is set before the socket listens.
+fn listen(
+    address: SocketAddr,
+    receive_buffer_bytes: u64,
+) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    if let Err(error) = socket.set_recv_buffer_size(receive_buffer_bytes as u32) {
+        log::warn!("failed to set the size of receive buffers on {address}: {error}");
+    }
+    socket.bind(address)?;
+    socket.listen(LISTEN_BACKLOG)
+}
+
 impl GracefulServer {
-    /// Starts serving.
+    /// Starts serving clients of which only the number of connections is bounded.
     pub fn start<H: HttpHandler>(
         listener: TcpListener,
         limits: HttpLimits,
         handler: Arc<H>,
+    ) -> Self {
+        let bound = ClientLimits {
+            memory_bytes: u64::MAX / 2,
+            reserved_bytes: 0,
+            connection_bytes: 0,
+            connections: limits.connections,
+            receive_buffer_bytes: 0,
+        };
+        let clients = Clients::new(bound, ClientMetrics::default());
+        Self::start_within(listener, limits, clients, handler)
+    }
+
+    /// Starts serving clients, which are bounded together with all others of `clients`.
+    pub fn start_within<H: HttpHandler>(
+        listener: TcpListener,
+        limits: HttpLimits,
+        clients: Arc<Clients>,
+        handler: Arc<H>,
     ) -> Self {
         let (stop, stopped) = tokio::sync::oneshot::channel();
-        let serving = tokio::spawn(accept(listener, limits, handler, stopped));
-        Self { stop, serving }
+        let server = Server { limits, handler, clients: clients.clone() };
+        let serving = tokio::spawn(server.accept(listener, stopped));
+        Self { stop, serving, clients }
     }
 
     /// Stops accepting connections and waits up to `wait` for open ones to finish.
     ///
-    /// Returns false if some did not finish in time.
+    /// Requests that are not read whole are refused after a part of that time. Returns false
+    /// if some connections did not finish in time.
     pub async fn stop(self, wait: Duration) -> bool {
         let _ = self.stop.send(());
-        match self.serving.await {
-            Ok(graceful) => timeout(wait, graceful.shutdown()).await.is_ok(),
-            Err(_) => false,
+        let Ok(graceful) = self.serving.await else { return false };
+        let mut finished = std::pin::pin!(graceful.shutdown());
+        let first_wait = INCOMPLETE_REQUESTS_TIMEOUT.min(wait / 2);
+        if timeout(first_wait, &mut finished).await.is_ok() {
+            return true;
         }
+        self.clients.yield_all();
+        timeout(wait - first_wait, finished).await.is_ok()
     }
 }
 
-async fn accept<H: HttpHandler>(
-    listener: TcpListener,
+/// Serves the clients of one listener.
+struct Server<H> {
     limits: HttpLimits,
     handler: Arc<H>,
-    mut stopped: tokio::sync::oneshot::Receiver<()>,
-) -> GracefulShutdown {
-    let graceful = GracefulShutdown::new();
-    let permits = Arc::new(Semaphore::new(limits.connections));
-    let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        // Timeouts are enforced by the connection, see `client_times`.
-        .header_read_timeout(None)
-        .max_buf_size(limits.header_bytes)
-        // Clients that close only their sending half still read the response.
-        .half_close(false);
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = &mut stopped => return graceful,
-        };
-        let Ok((socket, _)) = accepted else {
-            tokio::time::sleep(Duration::from_millis(50)).await;
-            continue;
-        };
-        // Above the limit, close the connection immediately instead of queueing it.
-        let Ok(permit) = permits.clone().try_acquire_owned() else { continue };
-        if !handler.admits_connection() {
-            continue;
+    clients: Arc<Clients>,
+}
+
+impl<H: HttpHandler> Server<H> {
+    async fn accept(
+        self,
+        listener: TcpListener,
+        mut stopped: tokio::sync::oneshot::Receiver<()>,
+    ) -> GracefulShutdown {
+        let graceful = GracefulShutdown::new();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = &mut stopped => return graceful,
+            };
+            let Ok((socket, _)) = accepted else {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            };
+            if !self.handler.admits_connection() {
+                continue;
+            }
+            let client = tokio::select! {
+                client = self.clients.open() => client,
+                _ = &mut stopped => return graceful,
+            };
+            // Without room, close the connection immediately instead of queueing it.
+            if let Some(client) = client {
+                self.serve(socket, client, &graceful);
+            }
         }
+    }
+
+    fn serve(
+        &self,
+        socket: TcpStream,
+        client: Arc<ClientConnection>,
+        graceful: &GracefulShutdown,
+    ) {
         let _ = socket.set_nodelay(true);
-        let handler = handler.clone();
+        let (handler, limits) = (self.handler.clone(), self.limits);
         let times = {
             let handler = handler.clone();
             move || client_times(handler.as_ref(), limits)
         };
         let phase = ClientPhase::new(times());
-        let io = TimeoutIo::new(socket, times, phase.clone());
-        let service = service_fn(move |request| {
+        let unread = Arc::new(UnreadBody::default());
+        let io =
+            ClientIo::new(socket, times, phase.clone(), client.clone(), unread.clone());
+        let builder = self.connection_builder();
+        let requests_client = client.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
             let handler = handler.clone();
             let phase = phase.clone();
+            let client = requests_client.clone();
             phase.begin_response();
+            client.set_stage(ClientStage::Whole);
+            unread.set(false);
+            let unread = unread.clone();
+            let request = request.map(|body| ClientBody::new(body, client, unread));
             async move {
                 let answer = handler.clone().handle(request).await;
                 let times = client_times(handler.as_ref(), limits);
@@ -158,10 +236,24 @@
         let connection = builder.serve_connection(TokioIo::new(io), service);
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
-            let _ = connection.await;
-            drop(permit);
+            tokio::select! {
+                _ = connection => {}
+                _ = client.told_to_close() => {}
+            }
         });
     }
+
+    fn connection_builder(&self) -> http1::Builder {
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(TokioTimer::new())
+            // Timeouts are enforced by the connection, see `client_times`.
+            .header_read_timeout(None)
+            .max_buf_size(self.limits.header_bytes)
+            // Clients that close only their sending half still read the response.
+            .half_close(false);
+        builder
+    }
 }
 
 fn client_times<H: HttpHandler>(handler: &H, limits: HttpLimits) -> ClientTimeouts {
@@ -169,37 +261,6 @@
     handler.client_times().unwrap_or(fixed)
 }
 
-/// An error on reading a request body.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
-pub enum ReadBodyError {
-    /// The body exceeds the size limit.
-    #[error("the body is over {0} bytes; shorten it")]
-    TooLarge(usize),
-    /// The body was not received in time.
-    #[error("the body did not come within {0} ms; send it faster")]
-    Timeout(u64),
-    /// The connection broke.
-    #[error("the body ended early; send it whole")]
-    Incomplete,
-}
-
-/// Reads a complete body, subject to a size limit and a timeout.
-pub async fn read_body(
-    body: Incoming,
-    max_bytes: usize,
-    wait_ms: u64,
-) -> Result<Bytes, ReadBodyError> {
-    let collecting = Limited::new(body, max_bytes).collect();
-    match timeout(Duration::from_millis(wait_ms), collecting).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(ReadBodyError::TooLarge(max_bytes))
-        }
-        Ok(Err(_)) => Err(ReadBodyError::Incomplete),
-        Err(_) => Err(ReadBodyError::Timeout(wait_ms)),
-    }
-}
-
 /// Returns a response with a JSON body.
 pub fn json_response<T: Serialize>(
     status: StatusCode,
--- a/crates/bilberry-node/src/metrics.rs
+++ b/crates/bilberry-node/src/metrics.rs
@@ -10,6 +10,8 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
+use crate::ClientMetrics;
+
 /// The labels of the peer traffic counters.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct PeerLabels {
@@ -56,6 +58,8 @@
     pub cache_event_gaps: Counter,
     /// The active configuration revision.
     pub revision: Gauge,
+    /// What callers make the process hold.
+    pub clients: ClientMetrics,
 }
 
 impl Metrics {
@@ -76,6 +80,7 @@
             cache_events: Counter::default(),
             cache_event_gaps: Counter::default(),
             revision: Gauge::default(),
+            clients: ClientMetrics::default(),
         };
         metrics.register();
         metrics
@@ -105,6 +110,7 @@
         registry.register("cache_event_gaps", "Gaps in the cache events", gaps);
         let revision = self.revision.clone();
         registry.register("config_revision", "Revision in force", revision);
+        self.clients.register(&mut registry);
     }
 
     /// Counts one frame.
--- a/crates/bilberry-node/src/operations.rs
+++ b/crates/bilberry-node/src/operations.rs
@@ -5,9 +5,9 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 
+use crate::ClientBody;
 use crate::HttpHandler;
 use crate::Node;
 use crate::ResponseBody;
@@ -54,7 +54,7 @@
 impl<R: Readiness> HttpHandler for Operations<R> {
     async fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
     ) -> Response<ResponseBody> {
         match request.uri().path() {
             "/livez" => text(StatusCode::OK, "alive\n"),
--- a/crates/bilberry-node/tests/connections.rs
+++ b/crates/bilberry-node/tests/connections.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
+use bilberry_node::ClientBody;
 use bilberry_node::GracefulServer;
 use bilberry_node::HttpHandler;
 use bilberry_node::HttpLimits;
@@ -11,7 +12,6 @@
 use bytes::Bytes;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -30,7 +30,7 @@
         !self.is_overloaded.load(Ordering::Relaxed)
     }
 
-    async fn handle(self: Arc<Self>, _: Request<Incoming>) -> Response<ResponseBody> {
+    async fn handle(self: Arc<Self>, _: Request<ClientBody>) -> Response<ResponseBody> {
         Response::new(ResponseBody::full(Bytes::from_static(b"served")))
     }
 }
--- a/crates/bilberry-standins/src/engine_http.rs
+++ b/crates/bilberry-standins/src/engine_http.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bilberry_node::BodyChunk;
+use bilberry_node::ClientBody;
 use bilberry_node::HttpHandler;
 use bilberry_node::ResponseBody;
 use bytes::Bytes;
@@ -13,7 +14,6 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use serde::Deserialize;
 use serde_json::Value;
 use serde_json::json;
@@ -61,7 +61,7 @@
 impl HttpHandler for EngineStandin {
     async fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
     ) -> Response<ResponseBody> {
         match (request.method().clone(), request.uri().path()) {
             (Method::POST, "/v1/completions") => self.complete(request, false).await,
@@ -108,7 +108,7 @@
         }))
     }
 
-    async fn order(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+    async fn order(&self, request: Request<ClientBody>) -> Response<ResponseBody> {
         let order: Order = read_json(request).await;
         match self.load(&order.weights, order.fencing).await {
             Ok(()) => ok(&true),
@@ -164,7 +164,7 @@
 
     async fn complete(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
         is_chat: bool,
     ) -> Response<ResponseBody> {
         let faults = self.faults();
--- a/crates/bilberry-standins/src/platform_http.rs
+++ b/crates/bilberry-standins/src/platform_http.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bilberry_node::ClientBody;
 use bilberry_node::HttpHandler;
 use bilberry_node::ResponseBody;
 use bilberry_node::json_response;
@@ -11,7 +12,6 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use serde::Deserialize;
 use serde_json::json;
 use tokio::time::Instant;
@@ -38,7 +38,7 @@
 impl HttpHandler for PlatformStandin {
     async fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
     ) -> Response<ResponseBody> {
         let path = request.uri().path().to_string();
         if path.starts_with("/standin/") {
@@ -68,7 +68,7 @@
     async fn answer_standin(
         &self,
         path: &str,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
     ) -> Response<ResponseBody> {
         match path {
             "/standin/faults" => {
@@ -100,7 +100,7 @@
         &self,
         method: Method,
         key: &str,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
     ) -> Response<ResponseBody> {
         if method == Method::GET {
             let mut store = self.store.lock().unwrap();
@@ -139,12 +139,15 @@
         true
     }
 
-    fn answer_list(&self, request: &Request<Incoming>) -> Response<ResponseBody> {
+    fn answer_list(&self, request: &Request<ClientBody>) -> Response<ResponseBody> {
         self.store.lock().unwrap().counters.lists += 1;
         ok(&self.listing(&text(request, "prefix"), 0))
     }
 
-    async fn answer_watch(&self, request: &Request<Incoming>) -> Response<ResponseBody> {
+    async fn answer_watch(
+        &self,
+        request: &Request<ClientBody>,
+    ) -> Response<ResponseBody> {
         self.store.lock().unwrap().counters.watches += 1;
         let prefix = text(request, "prefix");
         let after = number(request, "after");
@@ -176,13 +179,13 @@
     }
 }
 
-fn text(request: &Request<Incoming>, name: &str) -> String {
+fn text(request: &Request<ClientBody>, name: &str) -> String {
     let query = request.uri().query().unwrap_or_default();
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let found = pairs.into_iter().find(|(key, _)| *key == name);
     found.map(|(_, value)| value.to_string()).unwrap_or_default()
 }
 
-fn number(request: &Request<Incoming>, name: &str) -> u64 {
+fn number(request: &Request<ClientBody>, name: &str) -> u64 {
     text(request, name).parse().unwrap_or(0)
 }
--- a/crates/bilberry-standins/src/server.rs
+++ b/crates/bilberry-standins/src/server.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use bilberry_node::ClientBody;
 use bilberry_node::GracefulServer;
 use bilberry_node::HttpHandler;
 use bilberry_node::HttpLimits;
@@ -13,7 +14,6 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
@@ -40,13 +40,15 @@
 }
 
 /// Reads a whole body.
-pub(crate) async fn whole(request: Request<Incoming>) -> Bytes {
+pub(crate) async fn whole(request: Request<ClientBody>) -> Bytes {
     let collected = request.into_body().collect().await;
     collected.map(|body| body.to_bytes()).unwrap_or_default()
 }
 
 /// Reads a JSON body; one that can't be read counts as the default.
-pub(crate) async fn json<T: DeserializeOwned + Default>(request: Request<Incoming>) -> T {
+pub(crate) async fn json<T: DeserializeOwned + Default>(
+    request: Request<ClientBody>,
+) -> T {
     serde_json::from_slice(&whole(request).await).unwrap_or_default()
 }
 
--- a/crates/bilberry-standins/src/service.rs
+++ b/crates/bilberry-standins/src/service.rs
@@ -5,13 +5,13 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use bilberry_node::ClientBody;
 use bilberry_node::HttpHandler;
 use bilberry_node::ResponseBody;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::json;
@@ -69,7 +69,7 @@
         *self.faults.lock().unwrap() = faults;
     }
 
-    async fn run(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+    async fn run(&self, request: Request<ClientBody>) -> Response<ResponseBody> {
         let faults = self.faults.lock().unwrap().clone();
         if faults.fail_fast {
             return status(StatusCode::INTERNAL_SERVER_ERROR, "fails fast");
@@ -97,7 +97,7 @@
 impl HttpHandler for ServiceStandin {
     async fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
     ) -> Response<ResponseBody> {
         match (request.method().clone(), request.uri().path()) {
             (Method::PUT, "/standin/faults") => {
--- a/crates/bilberry-standins/src/weights.rs
+++ b/crates/bilberry-standins/src/weights.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use bilberry_node::ClientBody;
 use bilberry_node::HttpHandler;
 use bilberry_node::ResponseBody;
 use bytes::Bytes;
@@ -12,7 +13,6 @@
 use http_body_util::Empty;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use serde::Serialize;
@@ -58,7 +58,7 @@
 impl HttpHandler for WeightsStandin {
     async fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
     ) -> Response<ResponseBody> {
         match request.uri().path() {
             "/standin/counters" => ok(&self.state.lock().unwrap().clone()),
--- a/crates/bilberryd/src/hosted.rs
+++ b/crates/bilberryd/src/hosted.rs
@@ -25,12 +25,16 @@
 use bilberry_adapter::order_engines_without_sidecar;
 use bilberry_core::BootClock;
 use bilberry_core::BudgetLimits;
+use bilberry_core::ClientLimits;
 use bilberry_core::Clock;
+use bilberry_core::HostResources;
 use bilberry_core::QuotaTolerance;
 use bilberry_gateway::Gateway;
 use bilberry_gateway::GatewaySettings;
 use bilberry_gateway::follow_prompt_stores;
 use bilberry_gateway::follow_sidecars;
+use bilberry_node::ClientMetrics;
+use bilberry_node::Clients;
 use bilberry_node::GracefulServer;
 use bilberry_node::HttpLimits;
 use bilberry_node::StartError;
@@ -54,6 +58,7 @@
 use tokio::time::sleep;
 
 use crate::on_hangup;
+use crate::resources::usable_resources;
 use crate::status::Status;
 use crate::status::StatusPage;
 use crate::wait_for_signal;
@@ -151,6 +156,7 @@
 async fn run_entry(settings: HostSettings) -> Result<bool, PlatformRunError> {
     let callers = settings.callers.ok_or(PlatformRunError::NoAddress("callers"))?;
     let readiness = settings.readiness.ok_or(PlatformRunError::NoAddress("readiness"))?;
+    let resources = usable_resources(settings.resources);
     let clock = BootClock::new();
     let gateway = Arc::new(Gateway::new(
         PlatformDialect,
@@ -197,14 +203,16 @@
         tokio::spawn(order_engines_without_sidecar(claims, gateway.clone(), terms));
     }
     tokio::spawn(follow_prompt_stores(gateway.clone()));
-    let listener = bind("callers", callers).await?;
-    let server = GracefulServer::start(listener, CALLER_LIMITS, gateway.clone());
+    let bound = ClientLimits::callers(resources).at_most(CALLER_LIMITS.connections);
+    let clients = Clients::new(bound, gateway.metrics.clients.clone());
+    let listener = bind("callers", callers, bound).await?;
+    let server =
+        GracefulServer::start_within(listener, CALLER_LIMITS, clients, gateway.clone());
     let status = Arc::new(StatusPage { process: gateway.clone() });
-    let listener = bind("readiness", readiness).await?;
-    let _readiness = GracefulServer::start(listener, OPERATOR_LIMITS, status.clone());
+    let _readiness =
+        serve_operators("readiness", readiness, resources, status.clone()).await?;
     let metrics = SocketAddr::new(settings.bind, METRICS_PORT);
-    let _metrics =
-        GracefulServer::start(bind("metrics", metrics).await?, OPERATOR_LIMITS, status);
+    let _metrics = serve_operators("metrics", metrics, resources, status).await?;
     let measuring = gateway.clone();
     tokio::spawn(async move { measuring.measure_overload().await });
     let closing = gateway.clone();
@@ -233,7 +241,10 @@
     let holder = settings.host.to_string();
     let cache = Arc::new(CacheView::new());
     // Bind first: from now on no entry sends orders to this engine.
-    let feed = bind("peers", SocketAddr::new(settings.bind, settings.peers_port)).await?;
+    let resources = usable_resources(settings.resources);
+    let bound = ClientLimits::peers(resources);
+    let peers = SocketAddr::new(settings.bind, settings.peers_port);
+    let feed = bind("peers", peers, bound).await?;
     let first_order_delay_ms =
         settings.lease_ms.map_or(0, |lease_ms| lease_ms + MAX_ORDER_DELAY_MS);
     let first_order = Arc::new(OrderGate::at(clock.now().plus_ms(first_order_delay_ms)));
@@ -262,7 +273,8 @@
     tokio::spawn(follow(store.clone(), NoHubs, clock, weights));
     let hub = Arc::new(WatchHub::new(store, clock));
     let status = Arc::new(StatusPage { process: steward.clone() });
-    let _metrics = serve_metrics(&settings, status).await?;
+    let metrics = SocketAddr::new(settings.bind, METRICS_PORT);
+    let _metrics = serve_operators("metrics", metrics, resources, status).await?;
     let stores = PromptStores::new(HttpEngine::new);
     let crashes = CrashRelay::new();
     let quotas = Arc::new(QuotaOwner::new(clock));
@@ -296,10 +308,15 @@
     Ok(true)
 }
 
-async fn serve_metrics<S: Status>(
-    settings: &HostSettings,
+/// Serves readiness checks or metrics, whose clients are bounded on their own.
+async fn serve_operators<S: Status>(
+    key: &'static str,
+    address: SocketAddr,
+    resources: HostResources,
     status: Arc<StatusPage<S>>,
 ) -> Result<GracefulServer, PlatformRunError> {
-    let address = SocketAddr::new(settings.bind, METRICS_PORT);
-    Ok(GracefulServer::start(bind("metrics", address).await?, OPERATOR_LIMITS, status))
+    let bound = ClientLimits::operators(resources, OPERATOR_LIMITS.connections);
+    let clients = Clients::new(bound, ClientMetrics::default());
+    let listener = bind(key, address, bound).await?;
+    Ok(GracefulServer::start_within(listener, OPERATOR_LIMITS, clients, status))
 }
--- a/crates/bilberryd/src/lib.rs
+++ b/crates/bilberryd/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod hosted;
 mod process;
+mod resources;
 mod signals;
 mod start;
 mod status;
--- a/crates/bilberryd/src/start.rs
+++ b/crates/bilberryd/src/start.rs
@@ -6,11 +6,15 @@
 use bilberry_config::ProcessRole;
 use bilberry_config::Settings;
 use bilberry_config::UpstreamSettings;
+use bilberry_core::ClientLimits;
+use bilberry_core::HostResources;
 use bilberry_entry::Admin;
 use bilberry_entry::Entry;
 use bilberry_entry::EntryLimits;
 use bilberry_entry::SidecarProber;
 use bilberry_entry::UpstreamProber;
+use bilberry_node::ClientMetrics;
+use bilberry_node::Clients;
 use bilberry_node::GracefulServer;
 use bilberry_node::HttpLimits;
 use bilberry_node::Node;
@@ -36,6 +40,7 @@
 use crate::Addresses;
 use crate::Process;
 use crate::process::ActiveWork;
+use crate::resources::usable_resources;
 
 /// The connection limit of the operations and administration servers.
 const MAX_OPERATOR_CONNECTIONS: usize = 64;
@@ -43,6 +48,7 @@
 /// The components that both roles need.
 struct Base {
     settings: Settings,
+    resources: HostResources,
     node: Arc<Node>,
     links: PeerPool,
     platform: HttpPlatform,
@@ -70,8 +76,12 @@
 
 impl Base {
     async fn new(settings: Settings) -> Result<Self, StartError> {
-        let peers = bind("listen.peers", settings.listen.peers).await?;
-        let operations = bind("listen.operations", settings.listen.operations).await?;
+        let resources = usable_resources(settings.resources());
+        let (address, limits) = (settings.listen.peers, ClientLimits::peers(resources));
+        let peers = bind("listen.peers", address, limits).await?;
+        let limits = ClientLimits::operators(resources, MAX_OPERATOR_CONNECTIONS);
+        let address = settings.listen.operations;
+        let operations = bind("listen.operations", address, limits).await?;
         let own = peers.local_addr().unwrap_or(settings.listen.peers);
         let member = member(&settings, settings.listen.advertise.unwrap_or(own));
         let node = Node::new(member, settings.peers.piggyback_revision);
@@ -79,7 +89,7 @@
         let platform =
             HttpPlatform::new(platform.address, platform.call_ms, platform.watch_ms);
         let links = PeerPool::new(node.clone());
-        Ok(Self { settings, node, links, platform, peers, operations })
+        Ok(Self { settings, resources, node, links, platform, peers, operations })
     }
 
     fn start_sidecar(self, upstream: &UpstreamSettings) -> Result<Process, StartError> {
@@ -116,23 +126,26 @@
         );
         let listen = &self.settings.listen;
         let address = listen.callers.unwrap_or(listen.peers);
-        let callers = bind("listen.callers", address).await?;
+        let bound = ClientLimits::callers(self.resources).at_most(limits.connections);
+        let clients = Clients::new(bound, self.node.metrics.clients.clone());
+        let callers = bind("listen.callers", address, bound).await?;
         let callers_address = callers.local_addr().ok();
         let http = HttpLimits {
             header_bytes: limits.header_bytes,
             header_ms: limits.header_ms,
             connections: limits.connections,
         };
-        let callers = GracefulServer::start(callers, http, entry.clone());
+        let callers =
+            GracefulServer::start_within(callers, http, clients.clone(), entry.clone());
         let mut admin_address = None;
         let mut administration = None;
         if let Some(address) = listen.administration {
-            let listener = bind("listen.administration", address).await?;
+            let listener = bind("listen.administration", address, bound).await?;
             admin_address = listener.local_addr().ok();
             let admins = self.settings.administrator.clone();
             let admin = Arc::new(Admin::new(entry.clone(), admins));
-            let http = HttpLimits { connections: MAX_OPERATOR_CONNECTIONS, ..http };
-            administration = Some(GracefulServer::start(listener, http, admin));
+            let server = GracefulServer::start_within(listener, http, clients, admin);
+            administration = Some(server);
         }
         let (stop, stopped) = tokio::sync::oneshot::channel();
         let finishing = entry.clone();
@@ -166,7 +179,10 @@
             connections: MAX_OPERATOR_CONNECTIONS,
         };
         let operations = Arc::new(Operations::new(self.node.clone(), handler.clone()));
-        let operations = GracefulServer::start(self.operations, http, operations);
+        let bound = ClientLimits::operators(self.resources, MAX_OPERATOR_CONNECTIONS);
+        let clients = Clients::new(bound, ClientMetrics::default());
+        let operations =
+            GracefulServer::start_within(self.operations, http, clients, operations);
         let peers = &self.settings.peers;
         start_sync(SyncParameters {
             node: self.node.clone(),
--- a/crates/bilberryd/src/status.rs
+++ b/crates/bilberryd/src/status.rs
@@ -6,13 +6,13 @@
 use bilberry_adapter::PlatformDialect;
 use bilberry_core::BootClock;
 use bilberry_gateway::Gateway;
+use bilberry_node::ClientBody;
 use bilberry_node::HttpHandler;
 use bilberry_node::ResponseBody;
 use bilberry_steward::EngineController;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 
 /// The status of a process.
 pub trait Status: Send + Sync + 'static {
@@ -52,7 +52,7 @@
 impl<S: Status> HttpHandler for StatusPage<S> {
     async fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
     ) -> Response<ResponseBody> {
         let (status, text) = match request.uri().path() {
             "/metrics" => (StatusCode::OK, self.process.metrics()),
