Count heads in the budget of clients, and skip empty lines before them

Cause: 128 KiB of an incomplete head were buffered for each connection, whatever MaxHeaderBytes says, and empty lines before a request were kept in that buffer and parsed again with each read. The deadline of a head was looked at only while nothing was there to be read, so a client that always had bytes waiting was never closed.

Now a head is charged as it grows, with its lines, and the limit of a connection follows MaxHeaderBytes. Empty lines are dropped as they are read, 16 KiB at most. A head of exactly the limit may consist of as many lines as fit; before, more than 100 were answered with 431.

--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -66,6 +66,10 @@
         self.policy().map(|policy| policy.limits.times)
     }
 
+    fn max_head_bytes(&self) -> Option<usize> {
+        self.policy().map(|policy| policy.limits.header_bytes)
+    }
+
     fn admits_connection(&self) -> bool {
         let admits = self.overload.lock().unwrap().admits(rand::random());
         if !admits {
--- a/crates/bilberry-node/src/client_io.rs
+++ b/crates/bilberry-node/src/client_io.rs
@@ -1,4 +1,4 @@
-//! The socket of a client connection, with its timeouts.
+//! The socket of a client connection, with its timeouts and the bound on request heads.
 
 use std::future::Future;
 use std::pin::Pin;
@@ -25,6 +25,22 @@
 /// The largest read, for which the HTTP library keeps a buffer of at most twice the size.
 const MAX_READ_BYTES: usize = 8 * 1024;
 
+/// The empty lines before a head that are skipped, in bytes.
+const MAX_EMPTY_BYTES: usize = 16 * 1024;
+
+/// The part of a head that the cost of a connection covers, in bytes and in lines.
+const FREE_HEAD_BYTES: usize = 4 * 1024;
+const FREE_HEAD_LINES: usize = 64;
+
+/// How many times its size a head occupies in a buffer that grows by doubling.
+const HEAD_COPIES: usize = 2;
+
+/// What a line of a head costs once it is parsed, in bytes.
+const HEAD_LINE_BYTES: usize = 256;
+
+/// The granularity of charges for heads, in bytes.
+const HEAD_CHARGE_BYTES: u64 = 4 * 1024;
+
 /// How long the rest of a refused request is read and discarded.
 ///
 /// A connection that is closed with unread data is reset, and the client may lose the
@@ -43,9 +59,22 @@
     client: Arc<ClientConnection>,
     unread: Arc<UnreadBody>,
     timer: Pin<Box<Sleep>>,
+    head: HeadMeter,
+    /// Bytes of a head that were read and wait for room.
+    stash: Vec<u8>,
     closing: Option<Closing>,
 }
 
+/// What was read of a request head.
+#[derive(Debug, Default)]
+struct HeadMeter {
+    bytes: usize,
+    lines: usize,
+    /// The bytes of empty lines before the head.
+    empty_bytes: usize,
+    charged_bytes: u64,
+}
+
 /// A connection whose last response was sent.
 #[derive(Debug)]
 struct Closing {
@@ -53,6 +82,30 @@
     discarded_bytes: usize,
 }
 
+impl HeadMeter {
+    fn record(&mut self, bytes: &[u8]) {
+        self.bytes += bytes.len();
+        self.lines += bytes.iter().filter(|byte| **byte == b'\n').count();
+    }
+
+    /// Returns what has to be charged for the head besides what was charged before.
+    ///
+    /// A buffer that has grown stays until its connection closes, and so does its charge.
+    fn due_bytes(&self) -> u64 {
+        let bytes = match self.bytes > FREE_HEAD_BYTES {
+            true => self.bytes * HEAD_COPIES,
+            false => 0,
+        };
+        let lines = self.lines.saturating_sub(FREE_HEAD_LINES) * HEAD_LINE_BYTES;
+        let cost = (bytes + lines) as u64;
+        cost.next_multiple_of(HEAD_CHARGE_BYTES).saturating_sub(self.charged_bytes)
+    }
+
+    fn begin(&mut self) {
+        *self = Self { charged_bytes: self.charged_bytes, ..Self::default() };
+    }
+}
+
 impl<S, T: Fn() -> ClientTimeouts> ClientIo<S, T> {
     /// Wraps a socket; `times` is called for each request.
     pub(crate) fn new(
@@ -63,7 +116,8 @@
         unread: Arc<UnreadBody>,
     ) -> Self {
         let timer = Box::pin(sleep_until(Instant::now()));
-        Self { stream, times, phase, client, unread, timer, closing: None }
+        let (head, stash) = (HeadMeter::default(), Vec::new());
+        Self { stream, times, phase, client, unread, timer, head, stash, closing: None }
     }
 
     /// Polls the timer of the current phase; ready if the deadline has passed.
@@ -79,6 +133,29 @@
         }
         self.timer.as_mut().poll(cx)
     }
+
+    /// Polls for room for the head; ready with false if there is none.
+    fn poll_charge(&mut self, cx: &mut Context<'_>) -> Poll<bool> {
+        let bytes = self.head.due_bytes();
+        if bytes == 0 {
+            return Poll::Ready(true);
+        }
+        let charged = ready!(self.client.poll_grow(bytes, cx));
+        self.head.charged_bytes += bytes;
+        Poll::Ready(charged.is_ok())
+    }
+
+    /// Drops the empty lines before a head; returns how many bytes of it are left.
+    fn skip_empty_lines(&mut self, bytes: &mut [u8]) -> usize {
+        let is_empty = |byte: &u8| matches!(byte, b'\r' | b'\n');
+        let empty = match self.head.bytes {
+            0 => bytes.iter().take_while(|byte| is_empty(byte)).count(),
+            _ => 0,
+        };
+        self.head.empty_bytes += empty;
+        bytes.copy_within(empty.., 0);
+        bytes.len() - empty
+    }
 }
 
 impl<S: AsyncRead + Unpin, T> ClientIo<S, T> {
@@ -110,17 +187,60 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
         let io = self.get_mut();
-        let before = buffer.filled().len();
-        let Poll::Ready(read) = io.poll_read_some(cx, buffer) else {
-            // On a timeout, report the end of the stream, which closes the connection.
-            return io.poll_deadline(cx).map(Ok);
-        };
-        let has_begun = matches!(io.phase.get(), Phase::Idle { .. });
-        if has_begun && buffer.filled().len() > before {
-            io.phase.begin_head((io.times)());
-            io.client.set_stage(ClientStage::Head);
+        loop {
+            if !io.stash.is_empty() {
+                if !ready!(io.poll_charge(cx)) {
+                    return Poll::Ready(Ok(()));
+                }
+                let stash = std::mem::take(&mut io.stash);
+                buffer.put_slice(&stash);
+                return Poll::Ready(Ok(()));
+            }
+            // A client that always has bytes waiting would never be seen by the timer.
+            if let Phase::Head { deadline } = io.phase.get()
+                && Instant::now() >= deadline
+            {
+                return Poll::Ready(Ok(()));
+            }
+            let before = buffer.filled().len();
+            let Poll::Ready(read) = io.poll_read_some(cx, buffer) else {
+                // On a timeout, report the end of the stream, which closes the connection.
+                return io.poll_deadline(cx).map(Ok);
+            };
+            read?;
+            let phase = io.phase.get();
+            if buffer.filled().len() == before || phase == Phase::Responding {
+                return Poll::Ready(Ok(()));
+            }
+            if matches!(phase, Phase::Idle { .. }) {
+                io.phase.begin_head((io.times)());
+                io.client.set_stage(ClientStage::Head);
+                io.head.begin();
+            }
+            let left = io.skip_empty_lines(&mut buffer.filled_mut()[before..]);
+            buffer.set_filled(before + left);
+            io.head.record(&buffer.filled()[before..]);
+            if io.head.empty_bytes > MAX_EMPTY_BYTES {
+                buffer.set_filled(before);
+                return Poll::Ready(Ok(()));
+            }
+            if left == 0 {
+                continue;
+            }
+            let charged = io.poll_charge(cx);
+            if charged == Poll::Ready(true) {
+                return Poll::Ready(Ok(()));
+            }
+            let read = buffer.filled()[before..].to_vec();
+            buffer.set_filled(before);
+            match charged {
+                Poll::Ready(_) => return Poll::Ready(Ok(())),
+                Poll::Pending => {
+                    io.stash = read;
+                    return Poll::Pending;
+                }
+            }
         }
-        Poll::Ready(read)
     }
 }
 
--- a/crates/bilberry-node/src/http.rs
+++ b/crates/bilberry-node/src/http.rs
@@ -39,6 +39,18 @@
 /// The connections that the kernel accepts ahead of a listener.
 const LISTEN_BACKLOG: u32 = 1_024;
 
+/// The bytes of a head besides those that its limit counts: its method and version.
+const UNCOUNTED_HEAD_BYTES: usize = 1_024;
+
+/// The size of the shortest line of a head.
+const SHORTEST_LINE_BYTES: usize = 4;
+
+/// The largest number of lines of a head, which are allocated for each one that is parsed.
+const MAX_HEAD_LINES: usize = 4_096;
+
+/// The room in the read buffer of a connection besides a head.
+const READ_BUFFER_BYTES: usize = 8 * 1024;
+
 /// The longest time that a stop waits for requests that are not read whole.
 const INCOMPLETE_REQUESTS_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -49,6 +61,11 @@
         None
     }
 
+    /// Returns the current maximum size of a request head if it can change at run time.
+    fn max_head_bytes(&self) -> Option<usize> {
+        None
+    }
+
     /// Decides whether to admit a new connection; others are closed unread.
     fn admits_connection(&self) -> bool {
         true
@@ -243,13 +260,18 @@
         });
     }
 
+    /// Returns the settings of a connection, with the current limit on heads.
     fn connection_builder(&self) -> http1::Builder {
+        let max_head_bytes =
+            self.handler.max_head_bytes().unwrap_or(self.limits.header_bytes);
         let mut builder = http1::Builder::new();
         builder
             .timer(TokioTimer::new())
             // Timeouts are enforced by the connection, see `client_times`.
             .header_read_timeout(None)
-            .max_buf_size(self.limits.header_bytes)
+            .max_header_size(max_head_bytes + UNCOUNTED_HEAD_BYTES)
+            .max_headers((max_head_bytes / SHORTEST_LINE_BYTES).min(MAX_HEAD_LINES))
+            .max_buf_size(max_head_bytes + UNCOUNTED_HEAD_BYTES + READ_BUFFER_BYTES)
             // Clients that close only their sending half still read the response.
             .half_close(false);
         builder
