Charge answers to callers that do not read them

What callers saw: clients that read nothing of long answers filled an entry, and kept the places of its servers for as long as they liked.

Cause: 16 parts of up to 128 KiB waited for each caller, and 128 KiB in its connection; a part of a few bytes kept its read buffer. Passing a part on had no deadline.

Now a part is charged until it is written. While there is no room, the next one waits, and its server with it; an answer is never given up for memory, it ends at the request's deadline as before. Small parts are copied out of their buffers, and reads from servers take 16 KiB. A plain answer that doesn't fit into the budget is relayed as it comes.

--- a/crates/bilberry-entry/src/completion.rs
+++ b/crates/bilberry-entry/src/completion.rs
@@ -5,6 +5,7 @@
 
 use bilberry_core::Name;
 use bilberry_node::BodyChunk;
+use bilberry_node::ClientConnection;
 use bilberry_node::RequestBody;
 use bilberry_node::ResponseBody;
 use bilberry_platform::Platform;
@@ -76,8 +77,11 @@
         let (pieces, body) = mpsc::channel(MAX_BUFFERED_EVENTS);
         let write_timeout = Duration::from_millis(self.limits.write_timeout_ms);
         let entry = self.clone();
+        let client = admitted.client.clone();
         let send = async move {
-            let end = send_stream(&mut run, &writer, first, &pieces, write_timeout).await;
+            let end =
+                send_stream(&mut run, &writer, first, &pieces, &client, write_timeout)
+                    .await;
             entry.node.metrics.count_answer(end);
             // The customer's concurrency slot is held until the stream ends.
             drop(admitted);
@@ -97,6 +101,7 @@
     writer: &CompletionWriter,
     first: RunOutput,
     pieces: &mpsc::Sender<BodyChunk>,
+    client: &Arc<ClientConnection>,
     write_timeout: Duration,
 ) -> &'static str {
     let include_usage = run.request().include_usage;
@@ -109,6 +114,8 @@
             Err(error) => (writer.error(error), Some("stream_interrupted")),
         };
         is_first = false;
+        let held = timeout(write_timeout, client.hold(bytes)).await;
+        let Ok(bytes) = held else { return "caller_gone" };
         if !send_piece(pieces, BodyChunk::Data(bytes), write_timeout).await {
             return "caller_gone";
         }
--- a/crates/bilberry-entry/src/entry.rs
+++ b/crates/bilberry-entry/src/entry.rs
@@ -16,6 +16,7 @@
 use bilberry_core::retry_after_ms;
 use bilberry_node::ClientBody;
 use bilberry_node::ClientCharge;
+use bilberry_node::ClientConnection;
 use bilberry_node::Node;
 use bilberry_node::PeerHandler;
 use bilberry_node::PeerPool;
@@ -133,6 +134,7 @@
             customer,
             deadline,
             id: id.to_string(),
+            client: request.body().client().clone(),
             charge: None,
         })
     }
@@ -146,6 +148,8 @@
     pub(crate) customer: Arc<Customer>,
     pub(crate) deadline: UnixMs,
     pub(crate) id: String,
+    /// The caller's connection, to which what is held for the request is charged.
+    pub(crate) client: Arc<ClientConnection>,
     /// The charge for the body and its copies.
     pub(crate) charge: Option<Arc<ClientCharge>>,
 }
--- a/crates/bilberry-gateway/src/body_relay.rs
+++ b/crates/bilberry-gateway/src/body_relay.rs
@@ -1,10 +1,14 @@
 //! Helpers shared by plain responses and streams that are relayed to the caller.
 
 use bilberry_core::Clock;
+use bilberry_node::BodyChunk;
 use bilberry_node::ResponseBody;
+use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
 
 use crate::Dialect;
 use crate::Gateway;
@@ -56,6 +60,28 @@
         response
     }
 
+    /// Passes a part of a response to the caller, at the latest at the deadline.
+    ///
+    /// Until the caller has read earlier parts, this one waits, and so does its upstream.
+    pub(crate) async fn send_part(
+        &self,
+        context: &RequestContext,
+        pieces: &mpsc::Sender<BodyChunk>,
+        part: Bytes,
+    ) -> Result<(), BodyEnd> {
+        let left = context.deadline.remaining(self.clock.now());
+        let sending = async {
+            let part = context.client.hold(part).await;
+            pieces.send(BodyChunk::Data(part)).await
+        };
+        tokio::select! {
+            biased;
+            sent = sending => sent.map_err(|_| BodyEnd::CallerLeft),
+            _ = pieces.closed() => Err(BodyEnd::CallerLeft),
+            _ = sleep(left) => Err(BodyEnd::DeadlinePassed),
+        }
+    }
+
     /// Counts and logs the outcome of a request.
     pub(crate) fn record_outcome(&self, context: &RequestContext, outcome: &'static str) {
         self.metrics.count_request(outcome);
--- a/crates/bilberry-gateway/src/plain_response.rs
+++ b/crates/bilberry-gateway/src/plain_response.rs
@@ -4,6 +4,7 @@
 
 use bilberry_core::Clock;
 use bilberry_node::BodyChunk;
+use bilberry_node::ClientCharge;
 use bilberry_node::ResponseBody;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -28,6 +29,9 @@
 /// upstream.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
+/// The part of a buffer that the cost of a caller's connection covers.
+const UNCHARGED_BYTES: usize = 16 * 1024;
+
 /// A plain response, complete or with the part that was buffered.
 pub(crate) enum PlainResponse {
     Complete(Response<ResponseBody>),
@@ -44,7 +48,8 @@
         self.record_prompt_read(context, &mut response.reservation);
         let left = context.deadline.remaining(self.clock.now());
         let mut read = BytesMut::new();
-        let buffering = buffer_body(&mut response, &mut read);
+        let mut charge = context.client.charge();
+        let buffering = buffer_body(&mut response, &mut read, &mut charge);
         let is_complete = match timeout(left, buffering).await {
             Ok(Ok(is_complete)) => is_complete,
             Ok(Err(error)) => {
@@ -55,7 +60,7 @@
             Err(_) => return Err(Refusal::DeadlinePassed),
         };
         self.note_first_byte(context);
-        let buffered = read.freeze();
+        let buffered = charge.attach(read.freeze());
         if !is_complete {
             return Ok(PlainResponse::Partial(Box::new(response), buffered));
         }
@@ -120,8 +125,8 @@
         let upstream = response.reservation.upstream.clone();
         let is_framed = is_framed(response.http.headers());
         loop {
-            if pieces.send(BodyChunk::Data(next)).await.is_err() {
-                return BodyEnd::CallerLeft;
+            if let Err(end) = self.send_part(context, pieces, next).await {
+                return end;
             }
             let left = context.deadline.remaining(self.clock.now());
             let frame = tokio::select! {
@@ -143,11 +148,14 @@
     }
 }
 
-/// Reads a body up to the buffer limit; returns false if there is more.
+/// Reads a body up to the buffer limit, or as long as there is memory; returns false if
+/// there is more.
 async fn buffer_body(
     response: &mut UpstreamResponse,
     read: &mut BytesMut,
+    charge: &mut ClientCharge,
 ) -> Result<bool, hyper::Error> {
+    let mut charged_bytes = UNCHARGED_BYTES;
     while let Some(frame) = response.http.body_mut().frame().await {
         if let Ok(data) = frame?.into_data() {
             read.extend_from_slice(&data);
@@ -155,6 +163,12 @@
         if read.len() > MAX_BUFFERED_BYTES {
             return Ok(false);
         }
+        if read.capacity() > charged_bytes {
+            if !charge.try_add((read.capacity() - charged_bytes) as u64) {
+                return Ok(false);
+            }
+            charged_bytes = read.capacity();
+        }
     }
     Ok(true)
 }
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -380,8 +380,8 @@
                 }
             };
             self.record_origin(context, &upstream);
-            if pieces.send(BodyChunk::Data(events)).await.is_err() {
-                return RelayEnd::Finished(BodyEnd::CallerLeft);
+            if let Err(end) = self.send_part(context, pieces, events).await {
+                return RelayEnd::Finished(end);
             }
             context.progressed_at = self.clock.now();
         }
--- a/crates/bilberry-node/src/clients.rs
+++ b/crates/bilberry-node/src/clients.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::task::Waker;
@@ -19,6 +21,7 @@
 use bilberry_core::Growth;
 use bilberry_core::StalledBytes;
 use bilberry_core::UnixMs;
+use bytes::Bytes;
 use thiserror::Error;
 use tokio::sync::watch;
 use tokio::time::timeout;
@@ -31,6 +34,15 @@
 /// The interval between log lines about clients that yield.
 const LOG_INTERVAL_MS: u64 = 10_000;
 
+/// The bytes of a response that wait for a client without being charged to it.
+const FREE_RESPONSE_BYTES: usize = 8 * 1024;
+
+/// The size below which a part of a response is copied out of its read buffer.
+const MAX_COPIED_BYTES: usize = 4 * 1024;
+
+/// The size of the read buffer that a larger part keeps allocated.
+const READ_BUFFER_BYTES: u64 = 16 * 1024;
+
 /// There is no memory for more of a request.
 #[derive(Debug, Copy, Clone, PartialEq, Eq, Error)]
 #[error("there is no memory for more of this request; send it again later")]
@@ -109,6 +121,7 @@
                     clients: self.clone(),
                     id,
                     yields,
+                    unsent_bytes: AtomicUsize::new(0),
                 })))
             }
             Growth::AwaitsRoom(chosen) => {
@@ -203,6 +216,8 @@
     clients: Arc<Clients>,
     id: ClientId,
     yields: watch::Receiver<bool>,
+    /// The bytes of responses that wait for the client.
+    unsent_bytes: AtomicUsize,
 }
 
 impl ClientConnection {
@@ -291,6 +306,36 @@
         }
     }
 
+    /// Charges a part of a response to the connection until it is written.
+    ///
+    /// A response is never given up; while there is no room, its next part waits until
+    /// earlier ones were written.
+    pub async fn hold(self: &Arc<Self>, part: Bytes) -> Bytes {
+        let is_small = part.len() <= MAX_COPIED_BYTES;
+        let unsent_bytes = self.unsent_bytes.fetch_add(part.len(), Ordering::Relaxed);
+        let mut held = HeldPart { part, client: self.clone(), charged_bytes: 0 };
+        if unsent_bytes > 0 && unsent_bytes + held.part.len() > FREE_RESPONSE_BYTES {
+            let bytes = match is_small {
+                true => held.part.len() as u64,
+                false => READ_BUFFER_BYTES.max(held.part.len() as u64),
+            };
+            poll_fn(|cx| self.poll_hold(bytes, cx)).await;
+            held.charged_bytes = bytes;
+        }
+        if is_small {
+            held.part = Bytes::copy_from_slice(&held.part);
+        }
+        Bytes::from_owner(held)
+    }
+
+    fn poll_hold(&self, bytes: u64, cx: &mut Context<'_>) -> Poll<()> {
+        if self.poll_grow(bytes, cx) == Poll::Ready(Ok(())) {
+            return Poll::Ready(());
+        }
+        self.clients.lock().wait(cx.waker());
+        Poll::Pending
+    }
+
     /// Starts a charge for a buffer, which is returned when it is dropped.
     pub fn charge(self: &Arc<Self>) -> ClientCharge {
         ClientCharge { client: self.clone(), bytes: 0 }
@@ -320,6 +365,19 @@
         self.bytes += bytes;
         Ok(())
     }
+
+    /// Charges more bytes if there is room now.
+    pub fn try_add(&mut self, bytes: u64) -> bool {
+        let mut cx = Context::from_waker(Waker::noop());
+        let is_granted = self.client.poll_grow(bytes, &mut cx) == Poll::Ready(Ok(()));
+        self.bytes += if is_granted { bytes } else { 0 };
+        is_granted
+    }
+
+    /// Attaches the charge to the bytes of the buffer.
+    pub fn attach(self, part: Bytes) -> Bytes {
+        Bytes::from_owner(ChargedPart { part, _charge: self })
+    }
 }
 
 impl Drop for ClientCharge {
@@ -327,3 +385,35 @@
         self.client.shrink(self.bytes);
     }
 }
+
+/// A part of a response that waits for its client.
+struct HeldPart {
+    part: Bytes,
+    client: Arc<ClientConnection>,
+    charged_bytes: u64,
+}
+
+impl AsRef<[u8]> for HeldPart {
+    fn as_ref(&self) -> &[u8] {
+        &self.part
+    }
+}
+
+impl Drop for HeldPart {
+    fn drop(&mut self) {
+        self.client.unsent_bytes.fetch_sub(self.part.len(), Ordering::Relaxed);
+        self.client.shrink(self.charged_bytes);
+    }
+}
+
+/// A buffer with its charge.
+struct ChargedPart {
+    part: Bytes,
+    _charge: ClientCharge,
+}
+
+impl AsRef<[u8]> for ChargedPart {
+    fn as_ref(&self) -> &[u8] {
+        &self.part
+    }
+}
--- a/crates/bilberry-platform/src/head_limit.rs
+++ b/crates/bilberry-platform/src/head_limit.rs
@@ -16,11 +16,16 @@
 /// The bytes of interim responses and a head that are read, and of the body with them.
 const MAX_HEAD_BYTES: usize = 256 * 1024;
 
-/// The largest head of a response, and the largest chunk that is read of a body.
+/// The largest head of a response.
 ///
 /// Many connections to a faulty server may each hold as much.
 pub const MAX_READ_BYTES: usize = 128 * 1024;
 
+/// The largest read, which keeps the buffer of a connection small once the head is read.
+///
+/// A part of a response that waits for a caller keeps the buffer into which it was read.
+const MAX_PART_BYTES: usize = 16 * 1024;
+
 /// How much may be read from a connection until the head of a response is complete.
 ///
 /// Interim responses are parsed one after the other as long as there are bytes. Without a
@@ -88,7 +93,14 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        if buffer.remaining() <= MAX_PART_BYTES {
+            ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        } else {
+            let mut part = ReadBuf::new(buffer.initialize_unfilled_to(MAX_PART_BYTES));
+            ready!(Pin::new(&mut self.stream).poll_read(context, &mut part))?;
+            let length = part.filled().len();
+            buffer.advance(length);
+        }
         Poll::Ready(self.limit.count(buffer.filled().len() - filled))
     }
 }
