Bound the connections and the incomplete frames of peers

Cause: the sidecars' listener and the peers' listener of the project's own protocol reserved the length that a frame announces, up to 8 MiB, and had no bound in sum; the sidecars' took 1,024 connections whatever the descriptors, and the own protocol's any number.

Now both have a budget of a quarter of the memory and of the descriptors. A frame is charged as it arrives; its buffer grows with it. A connection that has sent a complete frame does not yield any more. A sidecar charges the contents of the cache that it sends to a new connection.

--- a/crates/bilberry-node/src/peer_server.rs
+++ b/crates/bilberry-node/src/peer_server.rs
@@ -17,6 +17,10 @@
 use tokio_util::codec::FramedRead;
 use tokio_util::codec::FramedWrite;
 
+use crate::ClientConnection;
+use crate::Clients;
+use crate::FrameMeter;
+use crate::MeteredStream;
 use crate::Node;
 use crate::link::send_frames;
 
@@ -58,12 +62,14 @@
 pub async fn serve_peers<H: PeerHandler>(
     node: Arc<Node>,
     listener: TcpListener,
+    clients: Arc<Clients>,
     handler: Arc<H>,
 ) {
     loop {
         match listener.accept().await {
             Ok((socket, _)) => {
-                tokio::spawn(serve_peer(node.clone(), socket, handler.clone()));
+                let Some(client) = clients.open().await else { continue };
+                tokio::spawn(serve_peer(node.clone(), socket, client, handler.clone()));
             }
             Err(error) => {
                 log::warn!("failed to accept a peer connection: {error}");
@@ -73,14 +79,23 @@
     }
 }
 
-async fn serve_peer<H: PeerHandler>(node: Arc<Node>, socket: TcpStream, handler: Arc<H>) {
+async fn serve_peer<H: PeerHandler>(
+    node: Arc<Node>,
+    socket: TcpStream,
+    client: Arc<ClientConnection>,
+    handler: Arc<H>,
+) {
     let _ = socket.set_nodelay(true);
     let (reader, writer) = socket.into_split();
+    let (reader, meter) = MeteredStream::new(reader, client);
     let (frames, queue) = mpsc::channel(SEND_QUEUE_FRAMES);
     let writer = FramedWrite::new(writer, FrameCodec::new());
     let sending = tokio::spawn(send_frames(writer, queue));
     let mut calls = Calls { node, frames, handler, tasks: HashMap::new() };
-    calls.serve(FramedRead::new(reader, FrameCodec::new())).await;
+    tokio::select! {
+        _ = calls.serve(FramedRead::new(reader, FrameCodec::new()), &meter) => {}
+        _ = meter.told_to_close() => {}
+    }
     // Abort the calls of a disconnected peer, which cancels them down to the engine.
     // Otherwise they would occupy capacity until they complete.
     for task in calls.tasks.values() {
@@ -98,14 +113,18 @@
 }
 
 impl<H: PeerHandler> Calls<H> {
-    async fn serve<R>(&mut self, mut frames: FramedRead<R, FrameCodec>)
-    where
+    async fn serve<R>(
+        &mut self,
+        mut frames: FramedRead<R, FrameCodec>,
+        meter: &FrameMeter,
+    ) where
         R: tokio::io::AsyncRead + Unpin,
     {
         let mut from = String::new();
         loop {
             match timeout(IDLE_TIMEOUT, frames.next()).await {
                 Ok(Some(Ok(frame))) => {
+                    meter.record_frame();
                     if let Some(Body::Hello(hello)) = &frame.body {
                         from.clone_from(&hello.address);
                     }
--- a/crates/bilberry-steward/src/feed.rs
+++ b/crates/bilberry-steward/src/feed.rs
@@ -8,6 +8,9 @@
 use std::time::Duration;
 
 use bilberry_core::Clock;
+use bilberry_node::Clients;
+use bilberry_node::FrameMeter;
+use bilberry_node::MeteredStream;
 use bilberry_wire::Body;
 use bilberry_wire::CacheChange;
 use bilberry_wire::Frame;
@@ -107,6 +110,8 @@
     pub sharing: Arc<PartSharing<C>>,
     /// The clock for load times and reports.
     pub clock: C,
+    /// The connections of entries.
+    pub clients: Arc<Clients>,
 }
 
 /// Serves the feed to every entry that connects.
@@ -128,10 +133,18 @@
         if entries.load(Ordering::Relaxed) >= MAX_ENTRIES {
             continue;
         }
+        let Some(client) = feed.clients.open().await else { continue };
         let connection = ConnectionCount::new(entries.clone());
         let feed = feed.clone();
         tokio::spawn(async move {
-            if let Err(error) = serve_entry(stream, &feed, &connection).await {
+            let (stream, meter) = MeteredStream::new(stream, client);
+            let served = tokio::select! {
+                served = serve_entry(stream, &meter, &feed, &connection) => served,
+                _ = meter.told_to_close() => {
+                    Err(std::io::Error::from(ErrorKind::ConnectionAborted).into())
+                }
+            };
+            if let Err(error) = served {
                 log::info!(target: "entry", address = address.to_string().as_str(), reason = error.to_string().as_str(); "lost");
             }
         });
@@ -162,11 +175,12 @@
 
 /// Sends updates to one entry and handles its notices until it disconnects.
 async fn serve_entry<E: Engine, S: WatchSource, C: Clock>(
-    stream: TcpStream,
+    stream: MeteredStream<TcpStream>,
+    meter: &FrameMeter,
     feed: &Feed<E, S, C>,
     connection: &ConnectionCount,
 ) -> Result<(), WireError> {
-    set_tcp_options(&stream)?;
+    set_tcp_options(stream.get_ref())?;
     let mut framed = Framed::new(stream, FrameCodec::new());
     let mut state = feed.state.clone();
     let mut cache = CacheSubscription::new(feed.cache.clone());
@@ -203,7 +217,7 @@
         // Entries ignore the cache contents of an incarnation that they do not know yet.
         if std::mem::replace(&mut sent_born_ms, started_at_ms) != started_at_ms {
             cache = CacheSubscription::new(feed.cache.clone());
-            send(&mut framed, Body::CacheChange(cache.take_snapshot())).await?;
+            send_snapshot(&mut framed, meter, cache.take_snapshot()).await?;
         }
         let sent_at = Instant::now();
         let mut next_at = sent_at + REFRESH_INTERVAL;
@@ -265,6 +279,7 @@
                     let Some(frame) = frame else { return Ok(()) };
                     received_at = Instant::now();
                     let Frame { call, body, .. } = frame?;
+                    meter.record_frame();
                     let notice = match body {
                         Some(Body::EntryNotice(notice)) => notice,
                         Some(Body::ReadingNotice(notice)) => {
@@ -439,12 +454,26 @@
 }
 
 async fn send(
-    framed: &mut Framed<TcpStream, FrameCodec>,
+    framed: &mut Framed<MeteredStream<TcpStream>, FrameCodec>,
     body: Body,
 ) -> Result<(), WireError> {
     framed.send(Frame { body: Some(body), ..Frame::default() }).await
 }
 
+/// Sends all contents of the cache, which are charged until the entry has read them.
+async fn send_snapshot(
+    framed: &mut Framed<MeteredStream<TcpStream>, FrameCodec>,
+    meter: &FrameMeter,
+    snapshot: CacheChange,
+) -> Result<(), WireError> {
+    let body = Some(Body::CacheChange(snapshot));
+    let frame = Frame { body, ..Frame::default() };
+    let mut charge = meter.client().charge();
+    let charged = charge.add(frame.size_bytes() as u64).await;
+    charged.map_err(|error| std::io::Error::new(ErrorKind::OutOfMemory, error))?;
+    framed.send(frame).await
+}
+
 /// Returns whether a change must be sent at once, as entries would otherwise send
 /// requests that the engine cannot serve.
 fn is_urgent(before: &EngineState, now: &EngineState) -> bool {
--- a/crates/bilberry-steward/src/metrics.rs
+++ b/crates/bilberry-steward/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Mutex;
 
+use bilberry_node::ClientMetrics;
 use bilberry_node::EraChanges;
 use bilberry_node::UnreadableObjects;
 use bilberry_node::render_metrics;
@@ -70,6 +71,8 @@
 #[derive(Debug)]
 pub struct SidecarMetrics {
     registry: Mutex<Registry>,
+    /// What entries make the process hold.
+    pub clients: ClientMetrics,
     /// Orders to load weights, by outcome.
     pub orders: Family<OrderLabel, Counter>,
     /// Weight loads that were planned or rescheduled.
@@ -111,6 +114,7 @@
     pub fn new() -> Self {
         let metrics = Self {
             registry: Mutex::new(Registry::with_prefix("bilberry")),
+            clients: ClientMetrics::default(),
             orders: Family::default(),
             plans: Counter::default(),
             load_seconds: Histogram::new(LOAD_BUCKETS_S),
@@ -166,6 +170,7 @@
         registry.register("stream_origins", help, self.stream_origins.clone());
         self.unreadable.register(&mut registry);
         self.era_changes.register(&mut registry);
+        self.clients.register(&mut registry);
     }
 
     /// Counts an order by its outcome.
--- a/crates/bilberry-steward/tests/admission.rs
+++ b/crates/bilberry-steward/tests/admission.rs
@@ -5,6 +5,10 @@
 use std::time::Duration;
 
 use bilberry_core::BootClock;
+use bilberry_core::ClientLimits;
+use bilberry_core::HostResources;
+use bilberry_node::ClientMetrics;
+use bilberry_node::Clients;
 use bilberry_steward::AdmissionControl;
 use bilberry_steward::AdmissionLabel;
 use bilberry_steward::AdmissionMetrics;
@@ -127,6 +131,10 @@
             run_interest: RunInterest::default(),
             runs: Arc::default(),
             clock,
+            clients: Clients::new(
+                ClientLimits::peers(HostResources::default()),
+                ClientMetrics::default(),
+            ),
         };
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
--- a/crates/bilberry-wire/src/codec.rs
+++ b/crates/bilberry-wire/src/codec.rs
@@ -1,5 +1,6 @@
 //! The codec for length-delimited frames.
 
+use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
 use prost::Message;
@@ -13,6 +14,9 @@
 /// The maximum size of a frame that is sent or accepted.
 pub const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
 
+/// The size of the length that precedes a frame, in network byte order.
+const LENGTH_BYTES: usize = 3;
+
 /// Why a frame could not be sent or read.
 #[derive(Debug, Error)]
 pub enum WireError {
@@ -35,7 +39,7 @@
     pub fn new() -> Self {
         let length_codec = LengthDelimitedCodec::builder()
             .max_frame_length(MAX_FRAME_BYTES)
-            .length_field_length(3)
+            .length_field_length(LENGTH_BYTES)
             .new_codec();
         Self { length_codec }
     }
@@ -61,9 +65,18 @@
     type Error = WireError;
 
     fn decode(&mut self, bytes: &mut BytesMut) -> Result<Option<Frame>, WireError> {
-        match self.length_codec.decode(bytes)? {
-            Some(frame) => Ok(Some(Frame::decode(frame)?)),
-            None => Ok(None),
+        // The codec's own decoder reserves the announced length before a byte of the frame
+        // has arrived, for as many connections as there are.
+        let Some(mut header) = bytes.get(..LENGTH_BYTES) else { return Ok(None) };
+        let length = header.get_uint(LENGTH_BYTES) as usize;
+        if length > MAX_FRAME_BYTES {
+            let kind = std::io::ErrorKind::InvalidData;
+            return Err(std::io::Error::new(kind, "frame size too big").into());
+        }
+        if bytes.len() < LENGTH_BYTES + length {
+            return Ok(None);
         }
+        bytes.advance(LENGTH_BYTES);
+        Ok(Some(Frame::decode(bytes.split_to(length))?))
     }
 }
--- a/crates/bilberry-wire/src/frame.rs
+++ b/crates/bilberry-wire/src/frame.rs
@@ -59,6 +59,13 @@
     pub body: Option<Body>,
 }
 
+impl Frame {
+    /// Returns the size of the encoded message, in bytes.
+    pub fn size_bytes(&self) -> usize {
+        prost::Message::encoded_len(self)
+    }
+}
+
 /// The payload of a frame.
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub enum Body {
--- a/crates/bilberryd/src/hosted.rs
+++ b/crates/bilberryd/src/hosted.rs
@@ -301,6 +301,7 @@
         runs,
         sharing: steward.sharing(),
         clock,
+        clients: Clients::new(bound, steward.metrics.clients.clone()),
     };
     tokio::spawn(serve_feed(feed, feed_state));
     tokio::spawn(steward.run());
--- a/crates/bilberryd/src/start.rs
+++ b/crates/bilberryd/src/start.rs
@@ -193,7 +193,15 @@
             head_watchers: peers.head_watchers,
         });
         let background: Vec<JoinHandle<()>> = vec![
-            tokio::spawn(serve_peers(self.node.clone(), self.peers, handler)),
+            tokio::spawn(serve_peers(
+                self.node.clone(),
+                self.peers,
+                Clients::new(
+                    ClientLimits::peers(self.resources),
+                    ClientMetrics::default(),
+                ),
+                handler,
+            )),
             tokio::spawn(register(self.node.clone(), self.platform)),
             tokio::spawn(async move {
                 // Keeps the operations server running until the process ends.
--- a/tests/tests/own_answers.rs
+++ b/tests/tests/own_answers.rs
@@ -2,6 +2,10 @@
 
 use std::sync::Arc;
 
+use bilberry_core::ClientLimits;
+use bilberry_core::HostResources;
+use bilberry_node::ClientMetrics;
+use bilberry_node::Clients;
 use bilberry_node::Node;
 use bilberry_node::PeerHandler;
 use bilberry_node::Reply;
@@ -138,7 +142,9 @@
         ..Member::default()
     };
     let node = Node::new(member, false);
-    tokio::spawn(serve_peers(node.clone(), listener, Arc::new(fault)));
+    let limits = ClientLimits::peers(HostResources::default());
+    let clients = Clients::new(limits, ClientMetrics::default());
+    tokio::spawn(serve_peers(node.clone(), listener, clients, Arc::new(fault)));
     let platform = HttpPlatform::new(fleet.platform.address("address"), 500, 500);
     register(node, platform).await;
     let piece = FleetConfig::engines(1).config_file();
