--- a/crates/bilberry-core/src/client_budget/limits.rs
+++ b/crates/bilberry-core/src/client_budget/limits.rs
@@ -40,15 +40,15 @@
 }
 
 impl ClientLimits {
-    /// The limits on callers: three eighths of the memory and half of the descriptors.
+    /// The limits on callers: a quarter of the memory and half of the descriptors.
     ///
-    /// The rest is for the process itself, for the receive buffers of connections that are
-    /// not read, and for connections to upstreams.
+    /// The rest is for the process itself, for what its allocator keeps, for the receive
+    /// buffers of connections that are not read, and for connections to upstreams.
     pub fn callers(resources: HostResources) -> Self {
         let descriptors = resources.descriptors.saturating_sub(OWN_DESCRIPTORS);
         Self::with(
             resources,
-            resources.memory_bytes / 8 * 3,
+            resources.memory_bytes / 4,
             CONNECTION_BYTES,
             descriptors / 2,
         )
--- a/crates/bilberry-node/src/http.rs
+++ b/crates/bilberry-node/src/http.rs
@@ -36,8 +36,8 @@
 use crate::client_timeouts::TimedBody;
 use crate::request_body::UnreadBody;
 
-/// The connections that the kernel accepts ahead of a listener.
-const LISTEN_BACKLOG: u32 = 1_024;
+/// The connections that the kernel accepts ahead of a listener, each with a receive buffer.
+const LISTEN_BACKLOG: u32 = 256;
 
 /// The bytes of a head besides those that its limit counts: its method and version.
 const UNCOUNTED_HEAD_BYTES: usize = 1_024;
--- a/tests/src/resources.rs
+++ b/tests/src/resources.rs
@@ -16,6 +16,8 @@
 pub struct Peak {
     /// Resident memory, and bytes that were received and not read, in bytes.
     pub memory_bytes: u64,
+    /// The largest part of it that was received and not read, in bytes.
+    pub unread_bytes: u64,
     /// Open descriptors.
     pub descriptors: usize,
 }
@@ -40,6 +42,7 @@
                 let sample = sample(process, &listeners);
                 let mut seen = seen.lock().unwrap();
                 seen.memory_bytes = seen.memory_bytes.max(sample.memory_bytes);
+                seen.unread_bytes = seen.unread_bytes.max(sample.unread_bytes);
                 seen.descriptors = seen.descriptors.max(sample.descriptors);
                 drop(seen);
                 std::thread::sleep(SAMPLE_INTERVAL);
@@ -68,8 +71,10 @@
 fn sample(process: u32, listeners: &[SocketAddr]) -> Peak {
     let resident_bytes = status_bytes(process, "VmRSS:");
     let descriptors = std::fs::read_dir(format!("/proc/{process}/fd"));
+    let unread_bytes = unread_bytes(listeners);
     Peak {
-        memory_bytes: resident_bytes + unread_bytes(listeners),
+        memory_bytes: resident_bytes + unread_bytes,
+        unread_bytes,
         descriptors: descriptors.map_or(0, Iterator::count),
     }
 }
