--- a/crates/bilberry-node/tests/connections.rs
+++ b/crates/bilberry-node/tests/connections.rs
@@ -67,3 +67,17 @@
     let mut new = TcpStream::connect(address).await.expect("the server is up");
     assert!(ask(&mut new).await.ends_with("served"));
 }
+
+/// Guards against clients that were served and stay, and lock others out.
+#[tokio::test]
+async fn an_idle_connection_makes_room_for_a_new_one() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("no port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let _server = GracefulServer::start(listener, LIMITS, Arc::new(Handler::default()));
+    let mut open = Vec::new();
+    for number in 0..2 * LIMITS.connections {
+        let mut client = TcpStream::connect(address).await.expect("the server is up");
+        assert!(ask(&mut client).await.ends_with("served"), "client {number}");
+        open.push(client);
+    }
+}
