--- a/crates/bilberry-node/src/request_body.rs
+++ b/crates/bilberry-node/src/request_body.rs
@@ -3,6 +3,8 @@
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -40,15 +42,15 @@
 
 /// Whether the last request of a connection has bytes that nobody read.
 #[derive(Debug, Default)]
-pub(crate) struct UnreadBody(std::sync::atomic::AtomicBool);
+pub(crate) struct UnreadBody(AtomicBool);
 
 impl UnreadBody {
     pub(crate) fn set(&self, is_unread: bool) {
-        self.0.store(is_unread, std::sync::atomic::Ordering::Relaxed);
+        self.0.store(is_unread, Ordering::Relaxed);
     }
 
     pub(crate) fn get(&self) -> bool {
-        self.0.load(std::sync::atomic::Ordering::Relaxed)
+        self.0.load(Ordering::Relaxed)
     }
 }
 
@@ -232,8 +234,8 @@
             segments: self.full.into(),
             unsent: 0,
             length: self.length,
-            small: None,
-            _charge: Some(Arc::new(self.charge)),
+            own: None,
+            charge: Some(Arc::new(self.charge)),
         }
     }
 }
@@ -245,9 +247,9 @@
     /// The index of the first segment that this clone has not sent.
     unsent: usize,
     length: usize,
-    /// A body that is no client's.
-    small: Option<Full<Bytes>>,
-    _charge: Option<Arc<ClientCharge>>,
+    /// The body of a call that the process makes itself, in place of segments.
+    own: Option<Full<Bytes>>,
+    charge: Option<Arc<ClientCharge>>,
 }
 
 impl RequestBody {
@@ -281,13 +283,13 @@
 
     /// Returns the guard of the memory that is charged for the body.
     pub fn charge(&self) -> Option<Arc<ClientCharge>> {
-        self._charge.clone()
+        self.charge.clone()
     }
 }
 
 impl From<Full<Bytes>> for RequestBody {
     fn from(body: Full<Bytes>) -> Self {
-        Self { small: Some(body), ..Self::default() }
+        Self { own: Some(body), ..Self::default() }
     }
 }
 
@@ -299,7 +301,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        if let Some(body) = &mut self.small {
+        if let Some(body) = &mut self.own {
             return Pin::new(body).poll_frame(cx);
         }
         let next = self.segments.get(self.unsent).cloned();
@@ -308,14 +310,14 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        match &self.small {
+        match &self.own {
             Some(body) => body.is_end_stream(),
             None => self.unsent >= self.segments.len(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match &self.small {
+        match &self.own {
             Some(body) => body.size_hint(),
             None => {
                 let unsent = self.segments.iter().skip(self.unsent);
