Charge the lines of a head only, and keep its deadline while it waits for room

Found by reading: what was read along with a head counted as its lines, so a body of 7,000 empty lines was charged 1.8 MB until its connection closed; and a head that waited for room was not closed at its deadline. The new test of the lines fails without the change (the connection is closed) and passes with it; the deadline has no test of its own.

--- a/crates/bilberry-node/src/client_io.rs
+++ b/crates/bilberry-node/src/client_io.rs
@@ -70,6 +70,9 @@
 struct HeadMeter {
     bytes: usize,
     lines: usize,
+    /// Whether the line that is being read is empty so far.
+    is_line_empty: bool,
+    has_ended: bool,
     /// The bytes of empty lines before the head.
     empty_bytes: usize,
     charged_bytes: u64,
@@ -83,9 +86,23 @@
 }
 
 impl HeadMeter {
+    /// Records what was read up to the empty line that ends the head.
     fn record(&mut self, bytes: &[u8]) {
-        self.bytes += bytes.len();
-        self.lines += bytes.iter().filter(|byte| **byte == b'\n').count();
+        for byte in bytes {
+            if self.has_ended {
+                return;
+            }
+            self.bytes += 1;
+            match byte {
+                b'\n' if self.is_line_empty => self.has_ended = true,
+                b'\n' => {
+                    self.lines += 1;
+                    self.is_line_empty = true;
+                }
+                b'\r' => {}
+                _ => self.is_line_empty = false,
+            }
+        }
     }
 
     /// Returns what has to be charged for the head besides what was charged before.
@@ -189,11 +206,14 @@
         let io = self.get_mut();
         loop {
             if !io.stash.is_empty() {
-                if !ready!(io.poll_charge(cx)) {
-                    return Poll::Ready(Ok(()));
+                let Poll::Ready(has_room) = io.poll_charge(cx) else {
+                    return io.poll_deadline(cx).map(Ok);
+                };
+                if has_room {
+                    let length = io.stash.len().min(buffer.remaining());
+                    buffer.put_slice(&io.stash[..length]);
+                    io.stash.drain(..length);
                 }
-                let stash = std::mem::take(&mut io.stash);
-                buffer.put_slice(&stash);
                 return Poll::Ready(Ok(()));
             }
             // A client that always has bytes waiting would never be seen by the timer.
@@ -237,7 +257,7 @@
                 Poll::Ready(_) => return Poll::Ready(Ok(())),
                 Poll::Pending => {
                     io.stash = read;
-                    return Poll::Pending;
+                    return io.poll_deadline(cx).map(Ok);
                 }
             }
         }
--- a/crates/bilberry-node/tests/connections.rs
+++ b/crates/bilberry-node/tests/connections.rs
@@ -4,7 +4,10 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
+use bilberry_core::ClientLimits;
 use bilberry_node::ClientBody;
+use bilberry_node::ClientMetrics;
+use bilberry_node::Clients;
 use bilberry_node::GracefulServer;
 use bilberry_node::HttpHandler;
 use bilberry_node::HttpLimits;
@@ -81,3 +84,27 @@
         open.push(client);
     }
 }
+
+/// Guards against bodies whose lines are charged as those of a head.
+#[tokio::test]
+async fn lines_of_a_body_are_not_charged_as_those_of_a_head() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("no port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let limits = ClientLimits {
+        memory_bytes: 100_000,
+        reserved_bytes: 0,
+        connection_bytes: 40_000,
+        connections: 2,
+        receive_buffer_bytes: 16_384,
+    };
+    let clients = Clients::new(limits, ClientMetrics::default());
+    let handler = Arc::new(Handler::default());
+    let _server = GracefulServer::start_within(listener, LIMITS, clients, handler);
+    let mut client = TcpStream::connect(address).await.expect("the server is up");
+    let body = "\n".repeat(7_000);
+    let head = format!("POST / HTTP/1.1\r\nContent-Length: {}\r\n\r\n", body.len());
+    let mut answer = Vec::new();
+    client.write_all((head + &body).as_bytes()).await.expect("the request is read");
+    client.read_buf(&mut answer).await.expect("the request is answered");
+    assert!(answer.starts_with(b"HTTP/1.1 200"));
+}
