Accept smaller hosts in the settings

Less than 8 MB or 64 descriptors is an error; 32 MB and 256 descriptors refused settings that work. Half of the descriptors at most are kept for the process itself.

--- a/crates/bilberry-config/src/settings.rs
+++ b/crates/bilberry-config/src/settings.rs
@@ -273,12 +273,12 @@
             None if descriptors < HostResources::MIN_DESCRIPTORS => Err((
                 "limits.descriptors",
                 format!("is {descriptors}, which is too few"),
-                "allow 256 or more",
+                "allow 64 or more",
             )),
             None => Err((
                 "limits.memory_mb",
                 format!("is {memory_mb}, which is too little"),
-                "allow 32 or more",
+                "allow 8 or more",
             )),
         }
     }
--- a/crates/bilberry-core/src/client_budget/limits.rs
+++ b/crates/bilberry-core/src/client_budget/limits.rs
@@ -9,7 +9,7 @@
 /// What a connection between processes of the system costs.
 const PEER_CONNECTION_BYTES: u64 = 16 * 1024;
 
-/// The descriptors that are left to files and to the process itself.
+/// The descriptors that are left to files and to the process itself, half of them at most.
 const OWN_DESCRIPTORS: usize = 200;
 
 /// The largest share of a request that may take the room kept for small requests.
@@ -45,7 +45,8 @@
     /// The rest is for the process itself, for what its allocator keeps, for the receive
     /// buffers of connections that are not read, and for connections to upstreams.
     pub fn callers(resources: HostResources) -> Self {
-        let descriptors = resources.descriptors.saturating_sub(OWN_DESCRIPTORS);
+        let own = OWN_DESCRIPTORS.min(resources.descriptors / 2);
+        let descriptors = resources.descriptors - own;
         Self::with(
             resources,
             resources.memory_bytes / 4,
--- a/crates/bilberry-core/src/host_resources.rs
+++ b/crates/bilberry-core/src/host_resources.rs
@@ -11,10 +11,10 @@
 
 impl HostResources {
     /// The smallest memory, in MB of 10^6 bytes.
-    pub const MIN_MEMORY_MB: f64 = 32.0;
+    pub const MIN_MEMORY_MB: f64 = 8.0;
 
     /// The smallest number of descriptors.
-    pub const MIN_DESCRIPTORS: usize = 256;
+    pub const MIN_DESCRIPTORS: usize = 64;
 
     /// The memory if the settings name none, in MB of 10^6 bytes.
     pub const DEFAULT_MEMORY_MB: f64 = 1_024.0;
