--- a/crates/bilberry-standins/src/service.rs
+++ b/crates/bilberry-standins/src/service.rs
@@ -34,6 +34,8 @@
     pub fail_fast: bool,
     /// Holds the answer back after the run.
     pub answer_after_ms: u64,
+    /// Pads the answer by this many bytes.
+    pub padding_bytes: usize,
 }
 
 /// What a plain service counts.
@@ -89,6 +91,9 @@
         tokio::time::sleep(Duration::from_millis(faults.answer_after_ms)).await;
         match faults.cut_after_run {
             true => cut(),
+            false if faults.padding_bytes > 0 => {
+                ok(&json!({ "key": key, "padding": "x".repeat(faults.padding_bytes) }))
+            }
             false => ok(&json!({ "key": key, "run": run, "bytes": body.len() })),
         }
     }
--- a/tests/tests/unbounded_clients.rs
+++ b/tests/tests/unbounded_clients.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use bilberry_standins::ServiceFaults;
 use bilberry_tests::ChildProcess;
 use bilberry_tests::Crowd;
 use bilberry_tests::Fleet;
@@ -193,6 +194,30 @@
     check_entry(&mut fleet, watch, Vec::new()).await;
 }
 
+/// Guards against answers that pile up for callers that do not read them.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_that_nobody_reads_fit_into_the_memory_of_an_entry() {
+    let _alone = SERIES.lock().await;
+    let mut fleet = small_fleet().await;
+    let large = ServiceFaults { padding_bytes: 3_000_000, ..ServiceFaults::default() };
+    fleet.set_faults(&fleet.upstreams[1], &large).await;
+    let watch = fleet.entries[0].watch_resources();
+    let mut crowd = Crowd::connect(fleet.entries[0].address("callers"), 60).await;
+    let call = "GET /services/s/large HTTP/1.1\r\nHost: api.example\r\n\
+                Authorization: Bearer key-anna\r\n\r\n";
+    crowd.send(call.as_bytes()).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    check_entry(&mut fleet, watch, vec![crowd]).await;
+    let small = ServiceFaults::default();
+    fleet.set_faults(&fleet.upstreams[1], &small).await;
+    let caller = fleet.caller(0, "ben");
+    eventually("a call to the service is answered", async || {
+        let reply = caller.send("GET", "/services/s/small", &[], "").await;
+        reply.is_ok_and(|reply| reply.status == 200).then_some(())
+    })
+    .await;
+}
+
 /// Guards against silent clients that take all descriptors, at each listener.
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_connections_leave_descriptors_for_others() {
