--- a/crates/bilberry-core/src/client_budget.rs
+++ b/crates/bilberry-core/src/client_budget.rs
@@ -42,7 +42,7 @@
     /// There is room, which is now taken.
     Granted(T),
     /// There will be room once other connections have yielded; those listed were chosen
-    /// now and have to be told.
+    /// for it now.
     AwaitsRoom(Vec<ClientId>),
     /// There is no room that others could yield, or the one that asks has to yield first.
     Refused,
@@ -130,7 +130,7 @@
         self.holders.get(&id).map(|holder| holder.stage)
     }
 
-    /// Returns whether a connection was told to yield and still has to.
+    /// Returns whether a connection was chosen to yield and has not yielded yet.
     pub fn is_yielding(&self, id: ClientId) -> bool {
         self.holders.get(&id).is_some_and(|holder| holder.is_yielding)
     }
@@ -216,7 +216,7 @@
         }
     }
 
-    /// Tells all connections without a whole request to yield, and returns them.
+    /// Chooses all connections without a whole request to yield, and returns them.
     pub fn yield_all(&mut self) -> Vec<ClientId> {
         let chosen: Vec<_> = self.candidates().map(|(id, _)| id).collect();
         chosen.iter().for_each(|id| self.mark_yielding(*id));
--- a/crates/bilberry-node/src/client_metrics.rs
+++ b/crates/bilberry-node/src/client_metrics.rs
@@ -30,7 +30,7 @@
     pub max_held_bytes: Gauge,
     /// Open connections.
     pub connections: Gauge,
-    /// Connections that were told to yield, by the stage of their request.
+    /// Connections that had to yield, by the stage of their request.
     pub yielded: Family<StageLabel, Counter>,
     /// Connections and parts of requests for which there was no room.
     pub without_room: Counter,
@@ -62,7 +62,7 @@
         self.connections.set(connections as i64);
     }
 
-    /// Counts a connection that was told to yield.
+    /// Counts a connection that has to yield.
     pub(crate) fn count_yielded(&self, stage: ClientStage) {
         let stage = match stage {
             ClientStage::Idle => "idle",
--- a/crates/bilberry-node/src/clients.rs
+++ b/crates/bilberry-node/src/clients.rs
@@ -59,7 +59,7 @@
 #[derive(Debug)]
 struct State {
     budget: ClientBudget,
-    /// Tells connections whether they have to yield.
+    /// Whether each connection has to yield.
     signals: HashMap<ClientId, watch::Sender<bool>>,
     /// Tasks that wait for room.
     waiting: Vec<Waker>,
@@ -99,11 +99,11 @@
         timeout(OPEN_TIMEOUT, opening).await.ok()?
     }
 
-    /// Tells all connections without a whole request to yield.
+    /// Makes all connections without a whole request yield.
     pub fn yield_all(&self) {
         let mut state = self.lock();
         let chosen = state.budget.yield_all();
-        state.tell(&chosen);
+        state.request_yield(&chosen);
     }
 
     fn poll_open(
@@ -142,7 +142,7 @@
                 self.metrics.count_yielded(stage);
             }
         }
-        state.tell(chosen);
+        state.request_yield(chosen);
         state.log.yielded += chosen.len() as u64;
         state.write_log(now);
     }
@@ -178,7 +178,7 @@
 }
 
 impl State {
-    fn tell(&self, chosen: &[ClientId]) {
+    fn request_yield(&self, chosen: &[ClientId]) {
         for signal in chosen.iter().filter_map(|id| self.signals.get(id)) {
             signal.send_replace(true);
         }
@@ -249,14 +249,14 @@
         });
     }
 
-    /// Waits until the connection is told to yield.
-    pub(crate) async fn told_to_yield(&self) {
+    /// Waits until the connection has to yield.
+    pub(crate) async fn yield_requested(&self) {
         let mut yields = self.yields.clone();
         let _ = yields.wait_for(|yields| *yields).await;
     }
 
-    /// Waits until the connection is told to yield while nobody reads a body from it.
-    pub(crate) async fn told_to_close(&self) {
+    /// Waits until the connection has to yield while no handler reads a body from it.
+    pub(crate) async fn close_requested(&self) {
         let mut yields = self.yields.clone();
         loop {
             let _ = yields.wait_for(|yields| *yields).await;
--- a/crates/bilberry-node/src/http.rs
+++ b/crates/bilberry-node/src/http.rs
@@ -255,7 +255,7 @@
         tokio::spawn(async move {
             tokio::select! {
                 _ = connection => {}
-                _ = client.told_to_close() => {}
+                _ = client.close_requested() => {}
             }
         });
     }
--- a/crates/bilberry-node/src/metered_stream.rs
+++ b/crates/bilberry-node/src/metered_stream.rs
@@ -52,8 +52,8 @@
     }
 
     /// Waits until the connection has to be closed to make room for others.
-    pub async fn told_to_close(&self) {
-        self.client.told_to_yield().await;
+    pub async fn close_requested(&self) {
+        self.client.yield_requested().await;
     }
 
     /// Returns the connection that is charged.
--- a/crates/bilberry-node/src/peer_server.rs
+++ b/crates/bilberry-node/src/peer_server.rs
@@ -94,7 +94,7 @@
     let mut calls = Calls { node, frames, handler, tasks: HashMap::new() };
     tokio::select! {
         _ = calls.serve(FramedRead::new(reader, FrameCodec::new()), &meter) => {}
-        _ = meter.told_to_close() => {}
+        _ = meter.close_requested() => {}
     }
     // Abort the calls of a disconnected peer, which cancels them down to the engine.
     // Otherwise they would occupy capacity until they complete.
--- a/crates/bilberry-node/src/request_body.rs
+++ b/crates/bilberry-node/src/request_body.rs
@@ -154,7 +154,7 @@
     let read = tokio::select! {
         biased;
         read = reading => read.unwrap_or(Err(ReadBodyError::Timeout(limits.timeout_ms))),
-        _ = client.told_to_yield() => Err(ReadBodyError::NoRoom(NoRoom)),
+        _ = client.yield_requested() => Err(ReadBodyError::NoRoom(NoRoom)),
     };
     match &read {
         Err(ReadBodyError::NoRoom(_)) => client.settle(),
--- a/crates/bilberry-steward/src/feed.rs
+++ b/crates/bilberry-steward/src/feed.rs
@@ -140,7 +140,7 @@
             let (stream, meter) = MeteredStream::new(stream, client);
             let served = tokio::select! {
                 served = serve_entry(stream, &meter, &feed, &connection) => served,
-                _ = meter.told_to_close() => {
+                _ = meter.close_requested() => {
                     Err(std::io::Error::from(ErrorKind::ConnectionAborted).into())
                 }
             };
