Read a bounded size, and record a decision on growth, in one place each

Three copies of the bounded read (client connections, peers, responses of servers) become poll_read_at_most; opening and growing record the budget's decision in one function. No behaviour changes.

--- a/crates/bilberry-node/src/client_io.rs
+++ b/crates/bilberry-node/src/client_io.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bilberry_core::ClientStage;
+use bilberry_platform::poll_read_at_most;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -175,24 +176,6 @@
     }
 }
 
-impl<S: AsyncRead + Unpin, T> ClientIo<S, T> {
-    /// Reads at most `MAX_READ_BYTES`, so that the buffer of the connection stays small.
-    fn poll_read_some(
-        &mut self,
-        cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        if buffer.remaining() <= MAX_READ_BYTES {
-            return Pin::new(&mut self.stream).poll_read(cx, buffer);
-        }
-        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(MAX_READ_BYTES));
-        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
-        let length = part.filled().len();
-        buffer.advance(length);
-        Poll::Ready(Ok(()))
-    }
-}
-
 impl<S, T> AsyncRead for ClientIo<S, T>
 where
     S: AsyncRead + Unpin,
@@ -223,7 +206,8 @@
                 return Poll::Ready(Ok(()));
             }
             let before = buffer.filled().len();
-            let Poll::Ready(read) = io.poll_read_some(cx, buffer) else {
+            let read = poll_read_at_most(&mut io.stream, cx, buffer, MAX_READ_BYTES);
+            let Poll::Ready(read) = read else {
                 // On a timeout, report the end of the stream, which closes the connection.
                 return io.poll_deadline(cx).map(Ok);
             };
--- a/crates/bilberry-node/src/clients.rs
+++ b/crates/bilberry-node/src/clients.rs
@@ -10,6 +10,7 @@
 use std::task::Context;
 use std::task::Poll;
 use std::task::Waker;
+use std::task::ready;
 use std::time::Duration;
 
 use bilberry_core::BootClock;
@@ -112,26 +113,44 @@
     ) -> Poll<Option<Arc<ClientConnection>>> {
         let now = self.clock.now();
         let mut state = self.lock();
-        match state.budget.open(now) {
-            Growth::Granted(id) => {
-                let (signal, yields) = watch::channel(false);
-                state.signals.insert(id, signal);
-                self.update_metrics(&state);
-                Poll::Ready(Some(Arc::new(ClientConnection {
-                    clients: self.clone(),
-                    id,
-                    yields,
-                    unsent_bytes: AtomicUsize::new(0),
-                })))
+        let opened = state.budget.open(now);
+        let id = match ready!(self.record_growth(&mut state, opened, cx, now)) {
+            Ok(id) => id,
+            Err(NoRoom) => return Poll::Ready(None),
+        };
+        let (signal, yields) = watch::channel(false);
+        state.signals.insert(id, signal);
+        Poll::Ready(Some(Arc::new(ClientConnection {
+            clients: self.clone(),
+            id,
+            yields,
+            unsent_bytes: AtomicUsize::new(0),
+        })))
+    }
+
+    /// Records a decision of the budget, and has the task woken if it has to wait.
+    fn record_growth<T>(
+        &self,
+        state: &mut State,
+        growth: Growth<T>,
+        cx: &mut Context<'_>,
+        now: UnixMs,
+    ) -> Poll<Result<T, NoRoom>> {
+        match growth {
+            Growth::Granted(granted) => {
+                self.update_metrics(state);
+                Poll::Ready(Ok(granted))
             }
             Growth::AwaitsRoom(chosen) => {
-                self.record_yields(&mut state, &chosen, now);
+                self.record_yields(state, &chosen, now);
                 state.wait(cx.waker());
                 Poll::Pending
             }
             Growth::Refused => {
-                self.record_refusal(&mut state, now);
-                Poll::Ready(None)
+                self.metrics.without_room.inc();
+                state.log.without_room += 1;
+                state.write_log(now);
+                Poll::Ready(Err(NoRoom))
             }
         }
     }
@@ -147,12 +166,6 @@
         state.write_log(now);
     }
 
-    fn record_refusal(&self, state: &mut State, now: UnixMs) {
-        self.metrics.without_room.inc();
-        state.log.without_room += 1;
-        state.write_log(now);
-    }
-
     fn update_metrics(&self, state: &State) {
         let budget = &state.budget;
         self.metrics.set_held(
@@ -282,21 +295,8 @@
         let clients = &self.clients;
         let now = clients.clock.now();
         let mut state = clients.lock();
-        match state.budget.grow(self.id, bytes, now) {
-            Growth::Granted(()) => {
-                clients.update_metrics(&state);
-                Poll::Ready(Ok(()))
-            }
-            Growth::AwaitsRoom(chosen) => {
-                clients.record_yields(&mut state, &chosen, now);
-                state.wait(cx.waker());
-                Poll::Pending
-            }
-            Growth::Refused => {
-                clients.record_refusal(&mut state, now);
-                Poll::Ready(Err(NoRoom))
-            }
-        }
+        let grown = state.budget.grow(self.id, bytes, now);
+        clients.record_growth(&mut state, grown, cx, now)
     }
 
     /// Returns bytes that were charged to the connection.
--- a/crates/bilberry-node/src/metered_stream.rs
+++ b/crates/bilberry-node/src/metered_stream.rs
@@ -10,6 +10,7 @@
 use std::task::ready;
 
 use bilberry_core::ClientStage;
+use bilberry_platform::poll_read_at_most;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -104,15 +105,8 @@
     ) -> Poll<io::Result<()>> {
         ready!(self.meter.poll_room(cx))?;
         let before = buffer.filled().len();
-        if buffer.remaining() as u64 <= READ_BYTES {
-            ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        } else {
-            let room = buffer.initialize_unfilled_to(READ_BYTES as usize);
-            let mut part = ReadBuf::new(room);
-            ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
-            let length = part.filled().len();
-            buffer.advance(length);
-        }
+        let stream = &mut self.stream;
+        ready!(poll_read_at_most(stream, cx, buffer, READ_BYTES as usize))?;
         let length = (buffer.filled().len() - before) as u64;
         self.meter.unparsed_bytes.fetch_add(length, Ordering::Relaxed);
         Poll::Ready(Ok(()))
--- a/crates/bilberry-platform/src/head_limit.rs
+++ b/crates/bilberry-platform/src/head_limit.rs
@@ -13,6 +13,8 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 
+use crate::poll_read_at_most;
+
 /// The bytes of interim responses and a head that are read, and of the body with them.
 const MAX_HEAD_BYTES: usize = 256 * 1024;
 
@@ -93,14 +95,8 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled = buffer.filled().len();
-        if buffer.remaining() <= MAX_PART_BYTES {
-            ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        } else {
-            let mut part = ReadBuf::new(buffer.initialize_unfilled_to(MAX_PART_BYTES));
-            ready!(Pin::new(&mut self.stream).poll_read(context, &mut part))?;
-            let length = part.filled().len();
-            buffer.advance(length);
-        }
+        let stream = &mut self.stream;
+        ready!(poll_read_at_most(stream, context, buffer, MAX_PART_BYTES))?;
         Poll::Ready(self.limit.count(buffer.filled().len() - filled))
     }
 }
--- a/crates/bilberry-platform/src/lib.rs
+++ b/crates/bilberry-platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! call has a deadline, and a circuit breaker rejects calls immediately while the
 //! platform is down.
 
+mod bounded_read;
 mod connections;
 mod error;
 mod head_limit;
@@ -11,6 +12,7 @@
 mod object;
 mod port;
 
+pub use bounded_read::poll_read_at_most;
 pub use error::PlatformError;
 pub use head_limit::HeadLimit;
 pub use head_limit::HeadLimitedStream;
