Refuse responses whose head does not delimit their body

What callers saw: an answer with a spoilt transfer coding came as 200, complete, with the chunk sizes as text or with a part of the body; with a length beside the coding it came with a length that was not its own, or (debug build) with a closed connection. The same answer to a call that stops a run let the run go on at a second engine while the first still worked on it.

Cause: the HTTP library reads a body of an unknown coding until the connection ends, as RFC 9112 allows. The entry asked twice whether the end of a body proves that it is complete, by the presence of two header names; both times the answer was yes. Status calls, orders, lists, the store and the clients of the project's own protocol had no such question at all.

Change: `BodyFraming` is determined once, where the head of a response arrives, for all three clients: length, chunks or connection. A coding other than `chunked`, several codings, a length beside a coding, and a length stated twice are errors, treated as no answer after the request was sent. The request log and `bilberry_sends_total` name them `invalid_response`, as they do what the parser rejects.

Evidence (debug build, loopback, stand-ins): on eight kinds of 46 (CodingMisspelt, CodingEmpty, CodingIdentity, CodingAfterChunked, CodingLineAfterChunked, CodingBeforeChunked, ChunkedTwice, CodingMisspeltWithLength) reached callers of plain answers, long ones and both kinds of streams as complete 200; ChunkedWithLength and LengthTwice in part. Own protocol and calls: the same kinds. None does now: 8 tests over processes, 4 of the clients, 5 of the rule.

Handled before, by the same tests: spoilt lengths, lines that are no field, status 000, blanks and control bytes in names and values, broken chunks, and a 200 without a length that is reset during a long upload.

--- a/crates/bilberry-gateway/src/connections.rs
+++ b/crates/bilberry-gateway/src/connections.rs
@@ -9,13 +9,13 @@
 use bilberry_core::Clock;
 use bilberry_core::UnixMs;
 use bilberry_node::RequestBody;
+use bilberry_platform::FramedBody;
 use bilberry_platform::HeadLimit;
 use bilberry_platform::HeadLimitedStream;
 use bilberry_platform::MAX_READ_BYTES;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -60,6 +60,10 @@
     /// At least part of the request was written, so it may have run or may still run.
     #[error("no response: {0}")]
     NoResponse(String),
+    /// The upstream sent something other than an HTTP/1.1 response; the request may have run
+    /// or may still run.
+    #[error("invalid response: {0}")]
+    InvalidResponse(String),
 }
 
 /// Why a connection could not be established.
@@ -189,18 +193,22 @@
     pub async fn send(
         &mut self,
         request: Request<RequestBody>,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<Response<FramedBody>, SendError> {
+        let method = request.method().clone();
         self.head_limit.start();
         let sent = self.sender.try_send_request(request).await;
         self.head_limit.end();
-        sent.map_err(|mut failed| {
+        let response = sent.map_err(|mut failed| {
             // hyper returns the request only if none of it was written.
             let reason = failed.error().to_string();
             match failed.take_message() {
                 Some(_) => SendError::NotSent(reason),
+                None if failed.error().is_parse() => SendError::InvalidResponse(reason),
                 None => SendError::NoResponse(reason),
             }
-        })
+        })?;
+        FramedBody::check(&method, response)
+            .map_err(|error| SendError::InvalidResponse(error.to_string()))
     }
 }
 
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -8,10 +8,10 @@
 use bilberry_core::Clock;
 use bilberry_core::RequestStatus;
 use bilberry_core::RetryKind;
+use bilberry_platform::FramedBody;
 use bytes::Bytes;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -63,7 +63,7 @@
 /// The head of an upstream's response, with the body still to be read.
 #[derive(Debug)]
 pub(crate) struct UpstreamResponse {
-    pub http: Response<Incoming>,
+    pub http: Response<FramedBody>,
     pub connection: Connection,
     pub reservation: Reservation,
     /// What was received of the body before it is relayed.
@@ -336,12 +336,15 @@
                 self.return_permit(context);
                 SendOutcome::NotRun(NOT_CONNECTED)
             }
-            Err(SendError::NoResponse(_)) => {
+            Err(error @ (SendError::NoResponse(_) | SendError::InvalidResponse(_))) => {
                 context.retry = None;
                 upstream.record_failure(self.clock.now());
                 self.record_interrupted_run(context, &upstream);
                 self.connections.close_idle_to(upstream.address);
-                SendOutcome::MayHaveRun("no_answer")
+                SendOutcome::MayHaveRun(match error {
+                    SendError::InvalidResponse(_) => "invalid_response",
+                    _ => "no_answer",
+                })
             }
         }
     }
@@ -404,7 +407,7 @@
                 reservation.settle_part_uses();
                 return Err(CopySendError::NotRun);
             }
-            Err(SendError::NoResponse(_)) => {
+            Err(SendError::NoResponse(_) | SendError::InvalidResponse(_)) => {
                 self.record_interrupted_run(context, &upstream);
                 return Err(CopySendError::MayHaveRun);
             }
@@ -421,7 +424,7 @@
     fn classify_response(
         &self,
         context: &RequestContext,
-        response: Response<Incoming>,
+        response: Response<FramedBody>,
         connection: Connection,
         mut reservation: Reservation,
     ) -> SendOutcome {
@@ -509,7 +512,7 @@
 
 /// Reports whether a send has failed, or was rejected in a way that another upstream may
 /// not reject it.
-fn is_failure(sent: &Result<Response<Incoming>, SendError>) -> bool {
+fn is_failure(sent: &Result<Response<FramedBody>, SendError>) -> bool {
     match sent.as_ref().map(|response| response.status()) {
         Ok(StatusCode::MISDIRECTED_REQUEST | StatusCode::TOO_MANY_REQUESTS) => true,
         Ok(status) => status.is_server_error(),
--- a/crates/bilberry-gateway/src/plain_response.rs
+++ b/crates/bilberry-gateway/src/plain_response.rs
@@ -21,7 +21,6 @@
 use crate::body_relay::BODY_CHANNEL_CAPACITY;
 use crate::body_relay::BodyEnd;
 use crate::forward::UpstreamResponse;
-use crate::relay::is_framed;
 
 /// The largest plain response that is buffered in full before it is relayed.
 ///
@@ -65,7 +64,7 @@
             return Ok(PlainResponse::Partial(Box::new(response), buffered));
         }
         let upstream = response.reservation.upstream.clone();
-        if !is_framed(response.http.headers())
+        if !response.http.body().framing().is_delimited()
             && !self.has_outlived_response(&upstream).await
         {
             self.record_interrupted_run(context, &upstream);
@@ -123,7 +122,7 @@
     ) -> BodyEnd {
         let mut next = buffered;
         let upstream = response.reservation.upstream.clone();
-        let is_framed = is_framed(response.http.headers());
+        let is_delimited = response.http.body().framing().is_delimited();
         loop {
             if let Err(end) = self.send_part(context, pieces, next).await {
                 return end;
@@ -135,7 +134,7 @@
                 _ = sleep(left) => return BodyEnd::DeadlinePassed,
             };
             next = match frame {
-                None if is_framed || self.has_outlived_response(&upstream).await => {
+                None if is_delimited || self.has_outlived_response(&upstream).await => {
                     return BodyEnd::Complete;
                 }
                 None | Some(Err(_)) => {
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -15,18 +15,16 @@
 use bilberry_core::RunOverlap;
 use bilberry_node::BodyChunk;
 use bilberry_node::ResponseBody;
+use bilberry_platform::FramedBody;
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::Fuse;
 use futures_util::future::FusedFuture;
 use http_body_util::BodyExt;
-use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
-use hyper::header::TRANSFER_ENCODING;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -263,7 +261,7 @@
     ) -> RelayEnd {
         let silence = self.max_stream_silence(context);
         let upstream = response.reservation.upstream.clone();
-        let is_framed = is_framed(response.http.headers());
+        let is_delimited = response.http.body().framing().is_delimited();
         let run_takeover = self.run_takeover(context, &upstream);
         let run = run_takeover.as_ref();
         let run_end = Fuse::terminated();
@@ -332,16 +330,16 @@
             let bytes = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 end => {
-                    let relay_end =
-                        end_of_stream(end, splitter, is_framed || !is_stop_requested);
+                    let is_clean_end_complete = is_delimited || !is_stop_requested;
+                    let relay_end = end_of_stream(end, splitter, is_clean_end_complete);
                     let last_event = splitter.last_id().or(context.call.last_event);
                     let relay_end = match relay_end {
                         RelayEnd::Finished(BodyEnd::Complete)
-                            if !is_framed && last_event.is_none() =>
+                            if !is_delimited && last_event.is_none() =>
                         {
                             RelayEnd::may_still_run("ended before the first event")
                         }
-                        RelayEnd::Finished(BodyEnd::Complete) if !is_framed => {
+                        RelayEnd::Finished(BodyEnd::Complete) if !is_delimited => {
                             self.confirm_unframed_end(&upstream).await
                         }
                         relay_end => relay_end,
@@ -432,7 +430,7 @@
     /// A connection that delimits its response by its end is not used again.
     pub(crate) fn keep_connection(&self, response: UpstreamResponse) {
         let UpstreamResponse { http, connection, reservation, .. } = response;
-        if is_framed(http.headers()) && !reservation.upstream.has_ended() {
+        if http.body().framing().is_delimited() && !reservation.upstream.has_ended() {
             self.connections.put_idle(connection, http.headers());
         }
     }
@@ -474,12 +472,6 @@
     );
 }
 
-/// Reports whether the headers delimit the body, so that its end can be distinguished
-/// from a closed connection.
-pub(crate) fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
-}
-
 /// Returns how an upstream's part of a stream ended.
 ///
 /// With `is_clean_end_complete`, a body that ends between two events is taken as
@@ -528,6 +520,9 @@
 }
 
 /// Reports whether a response is an event stream.
-pub(crate) fn is_stream(context: &RequestContext, response: &Response<Incoming>) -> bool {
+pub(crate) fn is_stream(
+    context: &RequestContext,
+    response: &Response<FramedBody>,
+) -> bool {
     context.route.kind.is_stream() && response.status().is_success()
 }
--- a/crates/bilberry-platform/src/connections.rs
+++ b/crates/bilberry-platform/src/connections.rs
@@ -17,6 +17,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::FramedBody;
 use crate::HeadLimit;
 use crate::HeadLimitedStream;
 use crate::MAX_READ_BYTES;
@@ -59,10 +60,13 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Bytes>, String> {
         let mut connection = self.get().await?;
+        let method = request.method().clone();
         connection.head_limit.start();
         let sent = connection.sender.send_request(request).await;
         connection.head_limit.end();
         let response = sent.map_err(|error| error.to_string())?;
+        let response = FramedBody::check(&method, response);
+        let response = response.map_err(|error| error.to_string())?;
         let (head, body) = response.into_parts();
         let body = Limited::new(body, self.max_body_bytes);
         let body = body.collect().await.map_err(|error| error.to_string())?;
--- a/crates/bilberry-platform/src/lib.rs
+++ b/crates/bilberry-platform/src/lib.rs
@@ -7,6 +7,7 @@
 mod bounded_read;
 mod connections;
 mod error;
+mod framing;
 mod head_limit;
 mod http;
 mod object;
@@ -14,6 +15,9 @@
 
 pub use bounded_read::poll_read_at_most;
 pub use error::PlatformError;
+pub use framing::BodyFraming;
+pub use framing::FramedBody;
+pub use framing::InvalidResponse;
 pub use head_limit::HeadLimit;
 pub use head_limit::HeadLimitedStream;
 pub use head_limit::MAX_READ_BYTES;
--- a/crates/bilberry-sidecar/src/engine_http.rs
+++ b/crates/bilberry-sidecar/src/engine_http.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bilberry_core::Fingerprint;
+use bilberry_platform::FramedBody;
 use bilberry_platform::MAX_READ_BYTES;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -15,7 +16,6 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
@@ -111,7 +111,7 @@
         method: Method,
         path: &str,
         body: Bytes,
-    ) -> Result<Response<Incoming>, EngineError> {
+    ) -> Result<Response<FramedBody>, EngineError> {
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.address))
@@ -213,7 +213,7 @@
     }
 }
 
-async fn read_text(answer: Response<Incoming>) -> Result<String, EngineError> {
+async fn read_text(answer: Response<FramedBody>) -> Result<String, EngineError> {
     let body = read_body(answer, MAX_RESPONSE_BYTES).await?;
     Ok(String::from_utf8_lossy(&body).into_owned())
 }
--- a/crates/bilberry-sidecar/src/engine_http/events.rs
+++ b/crates/bilberry-sidecar/src/engine_http/events.rs
@@ -3,7 +3,7 @@
 use bilberry_core::CacheEvent;
 use bilberry_core::EventKind;
 use bilberry_core::Fingerprint;
-use hyper::body::Incoming;
+use bilberry_platform::FramedBody;
 use serde::Deserialize;
 
 use crate::EngineError;
@@ -33,7 +33,7 @@
 
 impl HttpEvents {
     /// Reads events from a response body.
-    pub(super) fn new(body: Incoming) -> Self {
+    pub(super) fn new(body: FramedBody) -> Self {
         Self { lines: Lines::new(body) }
     }
 }
--- a/crates/bilberry-sidecar/src/engine_http/stream.rs
+++ b/crates/bilberry-sidecar/src/engine_http/stream.rs
@@ -1,6 +1,6 @@
 //! Completion streams of an engine over HTTP, as server-sent events.
 
-use hyper::body::Incoming;
+use bilberry_platform::FramedBody;
 use serde::Deserialize;
 
 use crate::EngineError;
@@ -56,7 +56,7 @@
 
 impl HttpStream {
     /// Reads events from a response body.
-    pub(super) fn new(info: EngineInfo, body: Incoming) -> Self {
+    pub(super) fn new(info: EngineInfo, body: FramedBody) -> Self {
         Self { info, lines: Lines::new(body), end: StreamEnd::default() }
     }
 
--- a/crates/bilberry-sidecar/src/exchange.rs
+++ b/crates/bilberry-sidecar/src/exchange.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
+use bilberry_platform::FramedBody;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use tokio::time::timeout;
 
@@ -33,11 +33,13 @@
 pub(crate) async fn exchange(
     client: &HttpClient,
     request: Request<Full<Bytes>>,
-) -> Result<Response<Incoming>, ExchangeError> {
+) -> Result<Response<FramedBody>, ExchangeError> {
+    let method = request.method().clone();
     match client.request(request).await {
         Ok(response) => {
             end_head(&response);
-            Ok(response)
+            FramedBody::check(&method, response)
+                .map_err(|error| ExchangeError::Lost(error.to_string()))
         }
         // Only if no connection was established is it certain that the request did not
         // run.
@@ -50,7 +52,7 @@
 
 /// Reads the body of a response of at most `max_bytes`.
 pub(crate) async fn read_body(
-    response: Response<Incoming>,
+    response: Response<FramedBody>,
     max_bytes: usize,
 ) -> Result<Bytes, ExchangeError> {
     match Limited::new(response.into_body(), max_bytes).collect().await {
--- a/crates/bilberry-sidecar/src/lines.rs
+++ b/crates/bilberry-sidecar/src/lines.rs
@@ -1,9 +1,9 @@
 //! Splitting of streamed HTTP bodies into lines.
 
+use bilberry_platform::FramedBody;
 use bytes::Buf;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
 /// The maximum length of a line.
 const MAX_LINE_BYTES: usize = 1024 * 1024;
@@ -11,13 +11,13 @@
 /// The lines of a streamed body.
 #[derive(Debug)]
 pub(crate) struct Lines {
-    body: Incoming,
+    body: FramedBody,
     buffer: BytesMut,
 }
 
 impl Lines {
     /// Creates a reader for the lines of a body.
-    pub(crate) fn new(body: Incoming) -> Self {
+    pub(crate) fn new(body: FramedBody) -> Self {
         Self { body, buffer: BytesMut::new() }
     }
 
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Starts real processes on loopback, and can kill, suspend and partition them.
 
+mod broken_answer;
 mod caller;
 mod crowd;
 mod fleet;
@@ -9,8 +10,10 @@
 mod plan;
 mod process;
 mod proxy;
+mod raw_server;
 mod resources;
 
+pub use broken_answer::BrokenAnswer;
 pub use caller::Answer;
 pub use caller::Caller;
 pub use caller::Streaming;
@@ -23,6 +26,7 @@
 pub use process::ChildProcess;
 pub use process::program_path;
 pub use proxy::FaultProxy;
+pub use raw_server::RawServer;
 pub use resources::Peak;
 pub use resources::ResourceWatch;
 
