Refuse responses with a content coding that was not requested

What callers saw: a server in trouble added `Content-Encoding` to an answer; the caller got it as 200, complete. On the platform a response that has the field is not the server's body. Clients of the project's own protocol got the body without the field, so they could not have decoded it either.

Cause: nothing read the field. No request of ours asks for a coding, and the clients of the platform ask for none.

Change: such a response is invalid, like one that does not delimit its body, at the same place for all three clients.

--- a/crates/bilberry-platform/src/framing.rs
+++ b/crates/bilberry-platform/src/framing.rs
@@ -13,6 +13,7 @@
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
+use hyper::header::CONTENT_ENCODING;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::HeaderValue;
 use hyper::header::TRANSFER_ENCODING;
@@ -43,6 +44,9 @@
     /// The length is not a number, or is stated twice.
     #[error("the length is not a single number; check the server")]
     Length,
+    /// The body is compressed or otherwise encoded, which was not requested.
+    #[error("the body has a content coding; have the server send it without one")]
+    ContentCoding,
 }
 
 /// The body of a response, with its framing.
@@ -99,7 +103,10 @@
         response: Response<Incoming>,
     ) -> Result<Response<Self>, InvalidResponse> {
         let framing = BodyFraming::of(method, response.status(), response.headers())?;
-        Ok(response.map(|incoming| Self { incoming, framing }))
+        match response.headers().contains_key(CONTENT_ENCODING) {
+            true => Err(InvalidResponse::ContentCoding),
+            false => Ok(response.map(|incoming| Self { incoming, framing })),
+        }
     }
 
     /// Returns how the body is delimited.
--- a/tests/src/broken_answer.rs
+++ b/tests/src/broken_answer.rs
@@ -47,6 +47,8 @@
     CodingMisspeltWithLength,
     /// A body is chunked in HTTP/1.0.
     ChunkedInHttp10,
+    /// The body is compressed, which no client has requested.
+    Compressed,
     /// The size of a chunk is no number.
     ChunkSizeSpoilt,
     /// The size of a chunk exceeds 64 bits.
@@ -106,7 +108,7 @@
 
 impl BrokenAnswer {
     /// All ways.
-    pub const ALL: [Self; 46] = [
+    pub const ALL: [Self; 47] = [
         Self::LengthWithLetter,
         Self::LengthNegative,
         Self::LengthWithSign,
@@ -129,6 +131,7 @@
         Self::ChunkedWithLength,
         Self::CodingMisspeltWithLength,
         Self::ChunkedInHttp10,
+        Self::Compressed,
         Self::ChunkSizeSpoilt,
         Self::ChunkSizeOverflow,
         Self::ChunkUnterminated,
@@ -216,6 +219,10 @@
             Self::ChunkedInHttp10 => {
                 parts.starting("HTTP/1.0", "Transfer-Encoding: chunked", whole.as_bytes())
             }
+            Self::Compressed => {
+                let lines = format!("Content-Encoding: gzip\r\nContent-Length: {length}");
+                parts.with_line(&lines)
+            }
             Self::ChunkSizeSpoilt => {
                 parts.with_coding("chunked", &whole.replacen("\r\n", "g\r\n", 1))
             }
