Refuse responses whose status is not that of a final response

What callers saw: status 600 of a server in trouble came as an answer, with the server's signature; 101, which nobody requested, closed the caller's connection without an answer (debug build: in the library that writes it). Status 000, 099 and ones of two or four digits were rejected before.

Cause: the HTTP library takes any status from 100 to 999, and 101 as a final one. RFC 9110 has none above 599.

Change: a response with a status outside 200 to 599 is invalid.

--- a/crates/bilberry-platform/src/framing.rs
+++ b/crates/bilberry-platform/src/framing.rs
@@ -35,6 +35,9 @@
 /// Why a response is not one in HTTP/1.1, so that nothing it says counts.
 #[derive(Debug, Copy, Clone, PartialEq, Eq, Error)]
 pub enum InvalidResponse {
+    /// The status is not one of a final response: 200 to 599.
+    #[error("the status is not one from 200 to 599; check the server")]
+    Status,
     /// The body has a transfer coding other than `chunked`, or several.
     #[error("the transfer coding is not `chunked`; check the server")]
     TransferCoding,
@@ -103,9 +106,12 @@
         response: Response<Incoming>,
     ) -> Result<Response<Self>, InvalidResponse> {
         let framing = BodyFraming::of(method, response.status(), response.headers())?;
-        match response.headers().contains_key(CONTENT_ENCODING) {
-            true => Err(InvalidResponse::ContentCoding),
-            false => Ok(response.map(|incoming| Self { incoming, framing })),
+        match response.status().as_u16() {
+            200..600 if response.headers().contains_key(CONTENT_ENCODING) => {
+                Err(InvalidResponse::ContentCoding)
+            }
+            200..600 => Ok(response.map(|incoming| Self { incoming, framing })),
+            _ => Err(InvalidResponse::Status),
         }
     }
 
--- a/tests/src/broken_answer.rs
+++ b/tests/src/broken_answer.rs
@@ -89,12 +89,16 @@
     StatusZero,
     /// The status is 099.
     StatusBelowRange,
+    /// The status is 600.
+    StatusAboveRange,
     /// The status has two digits.
     StatusTooShort,
     /// The status has four digits.
     StatusTooLong,
     /// The status is no number.
     StatusWithLetter,
+    /// The status says that the protocol changes.
+    SwitchesProtocols,
     /// The version is unknown.
     UnknownVersion,
 }
@@ -108,7 +112,7 @@
 
 impl BrokenAnswer {
     /// All ways.
-    pub const ALL: [Self; 47] = [
+    pub const ALL: [Self; 49] = [
         Self::LengthWithLetter,
         Self::LengthNegative,
         Self::LengthWithSign,
@@ -152,9 +156,11 @@
         Self::ValueWithControl,
         Self::StatusZero,
         Self::StatusBelowRange,
+        Self::StatusAboveRange,
         Self::StatusTooShort,
         Self::StatusTooLong,
         Self::StatusWithLetter,
+        Self::SwitchesProtocols,
         Self::UnknownVersion,
     ];
 
@@ -253,9 +259,11 @@
             Self::ValueWithControl => parts.with_broken_line(b"X-Filler: o\x01ne"),
             Self::StatusZero => parts.with_status("000"),
             Self::StatusBelowRange => parts.with_status("099"),
+            Self::StatusAboveRange => parts.with_status("600"),
             Self::StatusTooShort => parts.with_status("20"),
             Self::StatusTooLong => parts.with_status("2000"),
             Self::StatusWithLetter => parts.with_status("2O0"),
+            Self::SwitchesProtocols => parts.with_status("101"),
             Self::UnknownVersion => {
                 let length = format!("Content-Length: {length}");
                 parts.starting("HTTP/4.2", &length, body.as_bytes())
