Refuse responses that announce a body which their status excludes

What callers saw: a server in trouble sent 204 with a length or with chunks. The caller got 204, complete, without the body; with a length the library that writes the caller's response failed (debug build) or passed the length on.

Cause: a response of status 204 has no body for the HTTP library, whatever its head says.

Change: 204 with a transfer coding or a length other than 0 is invalid. 304 and responses to HEAD may state a length, as RFC 9110 says.

Evidence: `NoContentWithLength` and `NoContentWithCoding` failed in seven tests of broken answers before (calls and plain answers of both protocols, streams); all pass now.

--- a/crates/bilberry-platform/src/framing.rs
+++ b/crates/bilberry-platform/src/framing.rs
@@ -47,6 +47,9 @@
     /// The length is not a number, or is stated twice.
     #[error("the length is not a single number; check the server")]
     Length,
+    /// The status excludes a body, and one is announced.
+    #[error("a body is announced that the status excludes; check the server")]
+    BodyNotAllowed,
     /// The body is compressed or otherwise encoded, which was not requested.
     #[error("the body has a content coding; have the server send it without one")]
     ContentCoding,
@@ -78,7 +81,12 @@
             _ if *method == Method::HEAD || status == StatusCode::NOT_MODIFIED => {
                 Ok(Self::Empty)
             }
-            ((None, _), (None, _)) if status == StatusCode::NO_CONTENT => Ok(Self::Empty),
+            ((None, _), (length, None))
+                if status == StatusCode::NO_CONTENT && length.is_none_or(is_zero) =>
+            {
+                Ok(Self::Empty)
+            }
+            _ if status == StatusCode::NO_CONTENT => Err(InvalidResponse::BodyNotAllowed),
             ((None, _), (None, _)) => Ok(Self::Connection),
             ((None, _), (Some(length), None)) if is_number(length) => Ok(Self::Length),
             ((None, _), (Some(_), _)) => Err(InvalidResponse::Length),
@@ -141,6 +149,10 @@
     }
 }
 
+fn is_zero(length: &HeaderValue) -> bool {
+    length.as_bytes() == b"0"
+}
+
 fn is_number(length: &HeaderValue) -> bool {
     !length.is_empty() && length.as_bytes().iter().all(u8::is_ascii_digit)
 }
--- a/crates/bilberry-platform/tests/framing.rs
+++ b/crates/bilberry-platform/tests/framing.rs
@@ -66,6 +66,16 @@
     assert_eq!(get(&twice), Err(InvalidResponse::TransferCoding));
 }
 
+#[test]
+fn a_status_without_a_body_has_no_framing() {
+    for line in [("content-length", "14"), ("transfer-encoding", "chunked")] {
+        let found = framing(Method::GET, 204, &[line]);
+        assert_eq!(found, Err(InvalidResponse::BodyNotAllowed), "{line:?}");
+    }
+    let empty = framing(Method::GET, 204, &[("content-length", "0")]);
+    assert_eq!(empty, Ok(BodyFraming::Empty));
+}
+
 #[test]
 fn no_length_stands_beside_a_transfer_coding() {
     for coding in ["chunked", "chunkex"] {
--- a/tests/src/broken_answer.rs
+++ b/tests/src/broken_answer.rs
@@ -99,6 +99,10 @@
     StatusWithLetter,
     /// The status says that the protocol changes.
     SwitchesProtocols,
+    /// The status excludes a body, and a length is stated.
+    NoContentWithLength,
+    /// The status excludes a body, and a coding is stated.
+    NoContentWithCoding,
     /// The version is unknown.
     UnknownVersion,
 }
@@ -112,7 +116,7 @@
 
 impl BrokenAnswer {
     /// All ways.
-    pub const ALL: [Self; 49] = [
+    pub const ALL: [Self; 51] = [
         Self::LengthWithLetter,
         Self::LengthNegative,
         Self::LengthWithSign,
@@ -161,6 +165,8 @@
         Self::StatusTooLong,
         Self::StatusWithLetter,
         Self::SwitchesProtocols,
+        Self::NoContentWithLength,
+        Self::NoContentWithCoding,
         Self::UnknownVersion,
     ];
 
@@ -264,6 +270,11 @@
             Self::StatusTooLong => parts.with_status("2000"),
             Self::StatusWithLetter => parts.with_status("2O0"),
             Self::SwitchesProtocols => parts.with_status("101"),
+            Self::NoContentWithLength => parts.with_status("204"),
+            Self::NoContentWithCoding => {
+                let lines = format!("{}Transfer-Encoding: chunked", parts.lines);
+                head_and_body("HTTP/1.1 204 Status", &lines, whole.as_bytes())
+            }
             Self::UnknownVersion => {
                 let length = format!("Content-Length: {length}");
                 parts.starting("HTTP/4.2", &length, body.as_bytes())
