Read the whole answer to an order before it counts as confirmed

What was seen: in the project's own protocol, an order to load weights was confirmed by the head of its answer. An answer whose body was cut off or whose chunks were spoilt confirmed it as well.

Cause: the sidecar dropped the response unread.

Evidence: `a_broken_answer_does_not_confirm_an_order` failed before for five kinds (LengthTooLong, ChunkSizeSpoilt, ChunkSizeOverflow, ChunkUnterminated, LastChunkMissing); it passes now.

--- a/crates/bilberry-sidecar/src/engine_http.rs
+++ b/crates/bilberry-sidecar/src/engine_http.rs
@@ -176,7 +176,10 @@
     async fn load_weights(&self, weights: &str, fencing: u64) -> Result<(), EngineError> {
         let order = serde_json::to_vec(&LoadOrder { weights, fencing });
         let order = Bytes::from(order.unwrap_or_default());
-        let sending = self.send(Method::POST, "/v1/orders/load", order);
+        let sending = async {
+            let answer = self.send(Method::POST, "/v1/orders/load", order).await?;
+            read_text(answer).await
+        };
         with_timeout(LOAD_TIMEOUT, TIMEOUT_MESSAGE, sending).await.map(|_| ())
     }
 }
--- a/tests/tests/broken_answers.rs
+++ b/tests/tests/broken_answers.rs
@@ -115,6 +115,15 @@
     assert!(wrong.is_empty(), "events: {}", wrong.join("\n"));
 }
 
+/// Guards against orders that count as carried out after a broken answer.
+#[tokio::test]
+async fn a_broken_answer_does_not_confirm_an_order() {
+    let order = async |address| HttpEngine::new(address).load_weights("w2", 1).await;
+    let is_lost = |_, result: &Result<_, _>| matches!(result, Err(EngineError::Lost(_)));
+    let wrong = unrecognized(200, "{\"loaded\":true}", order, is_lost).await;
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
+
 /// Guards against reports, orders, lists and objects that are read from a broken answer.
 #[tokio::test]
 async fn a_broken_answer_to_a_call_has_an_unknown_outcome() {
