Share the HTTP connection to a server between the gateway and the store's client

Both had the same connection: a handshake, the bound on heads, the check of the framing, a task that drives it. No behaviour changes; failed connections of the store's client are logged like the gateway's, at level debug.

--- a/crates/bilberry-gateway/src/connections.rs
+++ b/crates/bilberry-gateway/src/connections.rs
@@ -10,20 +10,15 @@
 use bilberry_core::UnixMs;
 use bilberry_node::RequestBody;
 use bilberry_platform::FramedBody;
-use bilberry_platform::HeadLimit;
-use bilberry_platform::HeadLimitedStream;
-use bilberry_platform::MAX_READ_BYTES;
+use bilberry_platform::HttpConnection;
+pub use bilberry_platform::SendError;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
-use hyper::client::conn::http1;
-use hyper::client::conn::http1::SendRequest;
-use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use thiserror::Error;
 use tokio::net::TcpStream;
-use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 /// The timeout for establishing a connection.
@@ -51,21 +46,6 @@
 /// A request sent while the upstream closes the connection would be lost.
 const IDLE_MARGIN_MS: u64 = 700;
 
-/// Why a request did not get a response.
-#[derive(Debug, Error)]
-pub enum SendError {
-    /// No byte of the request was written, so it can't have run.
-    #[error("not sent: {0}")]
-    NotSent(String),
-    /// At least part of the request was written, so it may have run or may still run.
-    #[error("no response: {0}")]
-    NoResponse(String),
-    /// The upstream sent something other than an HTTP/1.1 response; the request may have run
-    /// or may still run.
-    #[error("invalid response: {0}")]
-    InvalidResponse(String),
-}
-
 /// Why a connection could not be established.
 #[derive(Debug, Error)]
 pub(crate) enum ConnectError {
@@ -103,16 +83,7 @@
 #[derive(Debug)]
 pub struct Connection {
     address: SocketAddr,
-    sender: SendRequest<RequestBody>,
-    head_limit: HeadLimit,
-    driver: JoinHandle<()>,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        // Closing the connection cancels the request at the upstream.
-        self.driver.abort();
-    }
+    http: HttpConnection<RequestBody>,
 }
 
 impl<C: Clock> ConnectionPool<C> {
@@ -136,7 +107,7 @@
     /// Returns a connection to the pool if its last response allows reuse.
     pub fn put_idle(&self, connection: Connection, response_headers: &HeaderMap) {
         let Some(idle_timeout_ms) = idle_timeout_ms(response_headers) else { return };
-        if connection.sender.is_closed() {
+        if connection.http.is_closed() {
             return;
         }
         let expires_at = self.clock.now().plus_ms(idle_timeout_ms);
@@ -152,7 +123,7 @@
         let mut idle = self.idle.lock().unwrap();
         for connections in idle.values_mut() {
             connections.retain(|idle| {
-                !idle.expires_at.has_passed_at(now) && !idle.connection.sender.is_closed()
+                !idle.expires_at.has_passed_at(now) && !idle.connection.http.is_closed()
             });
         }
         idle.retain(|_, connections| !connections.is_empty());
@@ -169,7 +140,7 @@
         let connections = idle.get_mut(&address)?;
         // The most recently used connection is the least likely to have been closed.
         while let Some(IdleConnection { connection, expires_at }) = connections.pop() {
-            if !expires_at.has_passed_at(now) && connection.sender.is_ready() {
+            if !expires_at.has_passed_at(now) && connection.http.is_ready() {
                 return Some(connection);
             }
         }
@@ -185,8 +156,7 @@
 
     /// Waits until another request can be sent after a response was read completely.
     pub(crate) async fn wait_until_ready(&mut self) -> Result<(), SendError> {
-        let ready = self.sender.ready().await;
-        ready.map_err(|error| SendError::NotSent(error.to_string()))
+        self.http.wait_until_ready().await
     }
 
     /// Sends a request and waits for the head of the response.
@@ -194,21 +164,7 @@
         &mut self,
         request: Request<RequestBody>,
     ) -> Result<Response<FramedBody>, SendError> {
-        let method = request.method().clone();
-        self.head_limit.start();
-        let sent = self.sender.try_send_request(request).await;
-        self.head_limit.end();
-        let response = sent.map_err(|mut failed| {
-            // hyper returns the request only if none of it was written.
-            let reason = failed.error().to_string();
-            match failed.take_message() {
-                Some(_) => SendError::NotSent(reason),
-                None if failed.error().is_parse() => SendError::InvalidResponse(reason),
-                None => SendError::NoResponse(reason),
-            }
-        })?;
-        FramedBody::check(&method, response)
-            .map_err(|error| SendError::InvalidResponse(error.to_string()))
+        self.http.send(request).await
     }
 }
 
@@ -224,19 +180,9 @@
     set_tcp_options(&stream);
     enable_keepalive(&stream);
     reset_on_close(&stream);
-    let head_limit = HeadLimit::new();
-    let limited = HeadLimitedStream::new(stream, head_limit.clone());
-    let mut builder = http1::Builder::new();
-    builder.max_buf_size(MAX_READ_BYTES);
-    let handshake = builder.handshake(TokioIo::new(limited)).await;
-    let failed = |error: hyper::Error| ConnectError::Failed(error.to_string());
-    let (sender, connection) = handshake.map_err(failed)?;
-    let driver = tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            log::debug!("connection to {address} failed: {error}");
-        }
-    });
-    Ok(Connection { address, sender, head_limit, driver })
+    let http = HttpConnection::new(stream, address).await;
+    let http = http.map_err(|error| ConnectError::Failed(error.to_string()))?;
+    Ok(Connection { address, http })
 }
 
 fn connect_error(error: &std::io::Error) -> ConnectError {
--- a/crates/bilberry-platform/src/connections.rs
+++ b/crates/bilberry-platform/src/connections.rs
@@ -10,17 +10,10 @@
 use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
-use hyper::client::conn::http1;
-use hyper::client::conn::http1::SendRequest;
-use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use crate::FramedBody;
-use crate::HeadLimit;
-use crate::HeadLimitedStream;
-use crate::MAX_READ_BYTES;
+use crate::HttpConnection;
 
 /// The largest number of connections that are kept between calls.
 const MAX_IDLE: usize = 8;
@@ -31,15 +24,7 @@
     address: SocketAddr,
     connect_ms: u64,
     max_body_bytes: usize,
-    idle: Mutex<Vec<Connection>>,
-}
-
-/// A connection, which is closed on drop.
-#[derive(Debug)]
-struct Connection {
-    sender: SendRequest<Full<Bytes>>,
-    head_limit: HeadLimit,
-    driver: JoinHandle<()>,
+    idle: Mutex<Vec<HttpConnection<Full<Bytes>>>>,
 }
 
 impl Connections {
@@ -60,14 +45,8 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Bytes>, String> {
         let mut connection = self.get().await?;
-        let method = request.method().clone();
-        connection.head_limit.start();
-        let sent = connection.sender.send_request(request).await;
-        connection.head_limit.end();
-        let response = sent.map_err(|error| error.to_string())?;
-        let response = FramedBody::check(&method, response);
-        let response = response.map_err(|error| error.to_string())?;
-        let (head, body) = response.into_parts();
+        let response = connection.send(request).await;
+        let (head, body) = response.map_err(|error| error.to_string())?.into_parts();
         let body = Limited::new(body, self.max_body_bytes);
         let body = body.collect().await.map_err(|error| error.to_string())?;
         let mut idle = self.idle.lock().unwrap();
@@ -78,45 +57,24 @@
     }
 
     /// Returns an idle connection that is still open, or a new one.
-    async fn get(&self) -> Result<Connection, String> {
+    async fn get(&self) -> Result<HttpConnection<Full<Bytes>>, String> {
         while let Some(mut connection) = self.take_idle() {
-            if connection.sender.ready().await.is_ok() {
+            if connection.wait_until_ready().await.is_ok() {
                 return Ok(connection);
             }
         }
         let allowed = Duration::from_millis(self.connect_ms);
-        let opened = timeout(allowed, Connection::open(self.address)).await;
+        let opened = timeout(allowed, open(self.address)).await;
         opened.map_err(|_| "the connection was not established in time".to_string())?
     }
 
-    fn take_idle(&self) -> Option<Connection> {
+    fn take_idle(&self) -> Option<HttpConnection<Full<Bytes>>> {
         self.idle.lock().unwrap().pop()
     }
 }
 
-impl Connection {
-    async fn open(address: SocketAddr) -> Result<Self, String> {
-        let stream =
-            TcpStream::connect(address).await.map_err(|error| error.to_string())?;
-        if let Err(error) = stream.set_nodelay(true) {
-            return Err(error.to_string());
-        }
-        let head_limit = HeadLimit::new();
-        let limited = HeadLimitedStream::new(stream, head_limit.clone());
-        let mut builder = http1::Builder::new();
-        builder.max_buf_size(MAX_READ_BYTES);
-        let handshake = builder.handshake(TokioIo::new(limited)).await;
-        let (sender, connection) = handshake.map_err(|error| error.to_string())?;
-        let driver = tokio::spawn(async move {
-            // The call that uses the connection reports its failure.
-            let _ = connection.await;
-        });
-        Ok(Self { sender, head_limit, driver })
-    }
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.driver.abort();
-    }
+async fn open(address: SocketAddr) -> Result<HttpConnection<Full<Bytes>>, String> {
+    let stream = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
+    stream.set_nodelay(true).map_err(|error| error.to_string())?;
+    HttpConnection::new(stream, address).await.map_err(|error| error.to_string())
 }
--- a/crates/bilberry-platform/src/lib.rs
+++ b/crates/bilberry-platform/src/lib.rs
@@ -10,6 +10,7 @@
 mod framing;
 mod head_limit;
 mod http;
+mod http_connection;
 mod object;
 mod port;
 
@@ -23,6 +24,8 @@
 pub use head_limit::MAX_READ_BYTES;
 pub use http::HttpPlatform;
 pub use http::StoreClient;
+pub use http_connection::HttpConnection;
+pub use http_connection::SendError;
 pub use object::HostEntry;
 pub use object::HostState;
 pub use object::Listing;
