Do not take a body for complete while bytes of it follow its end

What callers saw: where a server stated a length shorter than its body, or a chunk of size 0 in the middle, callers got 200, complete, with a part of the body: plain answers, long ones, streams that were cut between two events.

Cause: what follows a complete response closes the connection and is dropped. A chunk of size 0 turns the events after it into trailer fields, which the HTTP library parses and the entry dropped.

Change: after a response was read, the connection says whether bytes have followed that begin no other response (`has_surplus_bytes`). They are already there when the end of the body is seen; nothing waits for later ones. Such a response counts as cut off: a plain one that may run twice is sent again, else its caller gets 502; the caller of a long one or of a stream gets no end, and the last part of a body with a length is passed on only after the check. A whole further response leaves the first one sound, as before. Trailer fields, which no request asks for, break a body. The same holds for calls and for plain services of the project's own protocol, whose client has a connection of its own for each call and uses the shared one now.

Not seen: a rest of a body that arrives after the end was read.

--- a/crates/bilberry-gateway/src/connections.rs
+++ b/crates/bilberry-gateway/src/connections.rs
@@ -166,6 +166,11 @@
     ) -> Result<Response<FramedBody>, SendError> {
         self.http.send(request).await
     }
+
+    /// Returns whether bytes that begin no response follow one that was read completely.
+    pub(crate) async fn has_surplus_bytes(&mut self) -> bool {
+        self.http.has_surplus_bytes().await
+    }
 }
 
 /// Opens a new connection.
--- a/crates/bilberry-gateway/src/plain_response.rs
+++ b/crates/bilberry-gateway/src/plain_response.rs
@@ -6,10 +6,12 @@
 use bilberry_node::BodyChunk;
 use bilberry_node::ClientCharge;
 use bilberry_node::ResponseBody;
+use bilberry_platform::BodyError;
 use bytes::Bytes;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::Response;
+use hyper::body::Body;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -21,6 +23,7 @@
 use crate::body_relay::BODY_CHANNEL_CAPACITY;
 use crate::body_relay::BodyEnd;
 use crate::forward::UpstreamResponse;
+use crate::relay::SURPLUS_BYTES;
 
 /// The largest plain response that is buffered in full before it is relayed.
 ///
@@ -71,6 +74,11 @@
             context.detail = "the response was ended by a crash".to_string();
             return Err(Refusal::OutcomeUnknown);
         }
+        if response.connection.has_surplus_bytes().await {
+            self.record_interrupted_run(context, &upstream);
+            context.detail = SURPLUS_BYTES.to_string();
+            return Err(Refusal::OutcomeUnknown);
+        }
         if response.http.status().is_success() {
             self.record_sound_parts(context);
         }
@@ -124,6 +132,12 @@
         let upstream = response.reservation.upstream.clone();
         let is_delimited = response.http.body().framing().is_delimited();
         loop {
+            // With its last part, a response with a length is complete for its caller.
+            if response.http.body().is_end_stream()
+                && response.connection.has_surplus_bytes().await
+            {
+                return BodyEnd::Broken(SURPLUS_BYTES);
+            }
             if let Err(end) = self.send_part(context, pieces, next).await {
                 return end;
             }
@@ -134,6 +148,9 @@
                 _ = sleep(left) => return BodyEnd::DeadlinePassed,
             };
             next = match frame {
+                None if response.connection.has_surplus_bytes().await => {
+                    return BodyEnd::Broken(SURPLUS_BYTES);
+                }
                 None if is_delimited || self.has_outlived_response(&upstream).await => {
                     return BodyEnd::Complete;
                 }
@@ -153,7 +170,7 @@
     response: &mut UpstreamResponse,
     read: &mut BytesMut,
     charge: &mut ClientCharge,
-) -> Result<bool, hyper::Error> {
+) -> Result<bool, BodyError> {
     let mut charged_bytes = UNCHARGED_BYTES;
     while let Some(frame) = response.http.body_mut().frame().await {
         if let Ok(data) = frame?.into_data() {
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -15,6 +15,7 @@
 use bilberry_core::RunOverlap;
 use bilberry_node::BodyChunk;
 use bilberry_node::ResponseBody;
+use bilberry_platform::BodyError;
 use bilberry_platform::FramedBody;
 use bytes::Bytes;
 use futures_util::FutureExt;
@@ -61,6 +62,9 @@
 /// The detail of a request whose run was given up and not replaced by another.
 const NOT_REPLACED: &str = "no other run replaced it";
 
+/// The reason for a response whose length, or the size of a chunk, is wrong.
+pub(crate) const SURPLUS_BYTES: &str = "bytes follow its end";
+
 /// The silence after which a stream is resumed if the route states no event gap.
 const DEFAULT_SILENCE_MS: u64 = 1_000;
 
@@ -283,7 +287,7 @@
             let left = context.deadline.remaining(self.clock.now());
             let answer_at = context.answer_due_at();
             let next = next_frame(response);
-            let ends_early = |frame: &Option<Result<Frame<Bytes>, hyper::Error>>| {
+            let ends_early = |frame: &Option<Result<Frame<Bytes>, BodyError>>| {
                 matches!(frame, Some(Err(_)))
                     || frame.is_none() && !splitter.is_at_boundary()
             };
@@ -334,6 +338,11 @@
                     let relay_end = end_of_stream(end, splitter, is_clean_end_complete);
                     let last_event = splitter.last_id().or(context.call.last_event);
                     let relay_end = match relay_end {
+                        RelayEnd::Finished(BodyEnd::Complete)
+                            if response.connection.has_surplus_bytes().await =>
+                        {
+                            RelayEnd::may_still_run(SURPLUS_BYTES)
+                        }
                         RelayEnd::Finished(BodyEnd::Complete)
                             if !is_delimited && last_event.is_none() =>
                         {
@@ -477,7 +486,7 @@
 /// With `is_clean_end_complete`, a body that ends between two events is taken as
 /// complete.
 fn end_of_stream(
-    end: Option<Result<Frame<Bytes>, hyper::Error>>,
+    end: Option<Result<Frame<Bytes>, BodyError>>,
     splitter: &EventSplitter,
     is_clean_end_complete: bool,
 ) -> RelayEnd {
@@ -512,7 +521,7 @@
 /// Reads the next frame of a response, and before that what was received of it already.
 async fn next_frame(
     response: &mut UpstreamResponse,
-) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+) -> Option<Result<Frame<Bytes>, BodyError>> {
     if !response.received.is_empty() {
         return Some(Ok(Frame::data(std::mem::take(&mut response.received))));
     }
--- a/crates/bilberry-platform/src/connections.rs
+++ b/crates/bilberry-platform/src/connections.rs
@@ -49,6 +49,9 @@
         let (head, body) = response.map_err(|error| error.to_string())?.into_parts();
         let body = Limited::new(body, self.max_body_bytes);
         let body = body.collect().await.map_err(|error| error.to_string())?;
+        if connection.has_surplus_bytes().await {
+            return Err("the body is longer than the head says".to_string());
+        }
         let mut idle = self.idle.lock().unwrap();
         if idle.len() < MAX_IDLE {
             idle.push(connection);
--- a/crates/bilberry-platform/src/framing.rs
+++ b/crates/bilberry-platform/src/framing.rs
@@ -3,6 +3,7 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use bytes::Bytes;
 use hyper::HeaderMap;
@@ -55,6 +56,18 @@
     ContentCoding,
 }
 
+/// Why a body could not be read to its end.
+#[derive(Debug, Error)]
+pub enum BodyError {
+    /// The connection failed, or the framing of the body is broken.
+    #[error(transparent)]
+    Connection(#[from] hyper::Error),
+    /// Fields follow the last chunk, which no request asks for: the size of a chunk in the
+    /// middle of the body may be broken.
+    #[error("fields follow the body; have the server send it without them")]
+    Trailers,
+}
+
 /// The body of a response, with its framing.
 #[derive(Debug)]
 pub struct FramedBody {
@@ -131,13 +144,17 @@
 
 impl Body for FramedBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        Pin::new(&mut self.incoming).poll_frame(cx)
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(cx));
+        Poll::Ready(frame.map(|frame| match frame {
+            Ok(frame) if frame.is_trailers() => Err(BodyError::Trailers),
+            frame => frame.map_err(BodyError::from),
+        }))
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/bilberry-platform/src/http_connection.rs
+++ b/crates/bilberry-platform/src/http_connection.rs
@@ -1,7 +1,9 @@
 //! An HTTP/1.1 connection to a server.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::task::Poll;
 
 use bytes::Bytes;
 use hyper::Request;
@@ -19,6 +21,9 @@
 use crate::HeadLimitedStream;
 use crate::MAX_READ_BYTES;
 
+/// What every response begins with.
+const RESPONSE_START: &[u8] = b"HTTP/1.";
+
 /// Why a request did not get a response.
 #[derive(Debug, Error)]
 pub enum SendError {
@@ -39,13 +44,16 @@
 pub struct HttpConnection<B> {
     sender: SendRequest<B>,
     head_limit: HeadLimit,
-    driver: JoinHandle<()>,
+    /// Returns the bytes that were received and belong to no response.
+    driver: Option<JoinHandle<Bytes>>,
 }
 
 impl<B> Drop for HttpConnection<B> {
     fn drop(&mut self) {
         // Closing the connection cancels the request at the server.
-        self.driver.abort();
+        if let Some(driver) = &self.driver {
+            driver.abort();
+        }
     }
 }
 
@@ -59,13 +67,14 @@
         let limited = HeadLimitedStream::new(stream, head_limit.clone());
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_READ_BYTES);
-        let (sender, connection) = builder.handshake(TokioIo::new(limited)).await?;
+        let (sender, mut connection) = builder.handshake(TokioIo::new(limited)).await?;
         let driver = tokio::spawn(async move {
-            if let Err(error) = connection.await {
+            if let Err(error) = (&mut connection).await {
                 log::debug!("connection to {address} failed: {error}");
             }
+            connection.into_parts().read_buf
         });
-        Ok(Self { sender, head_limit, driver })
+        Ok(Self { sender, head_limit, driver: Some(driver) })
     }
 
     /// Sends a request and waits for the head of the response.
@@ -105,4 +114,19 @@
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
     }
+
+    /// Returns whether bytes have followed the last response, which was read completely, that
+    /// begin no other response.
+    ///
+    /// Such bytes show that its length, or the size of a chunk, is wrong. What has not
+    /// arrived yet is not waited for.
+    pub async fn has_surplus_bytes(&mut self) -> bool {
+        let ready = poll_fn(|cx| Poll::Ready(self.sender.poll_ready(cx))).await;
+        let Poll::Ready(Err(_)) = ready else { return false };
+        let Some(driver) = self.driver.take() else { return false };
+        let received = driver.await.unwrap_or_default();
+        let surplus = received.trim_ascii_start();
+        let shared = surplus.len().min(RESPONSE_START.len());
+        surplus[..shared] != RESPONSE_START[..shared]
+    }
 }
--- a/crates/bilberry-platform/src/lib.rs
+++ b/crates/bilberry-platform/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub use bounded_read::poll_read_at_most;
 pub use error::PlatformError;
+pub use framing::BodyError;
 pub use framing::BodyFraming;
 pub use framing::FramedBody;
 pub use framing::InvalidResponse;
--- a/crates/bilberry-sidecar/src/plain.rs
+++ b/crates/bilberry-sidecar/src/plain.rs
@@ -3,19 +3,17 @@
 use std::future::Future;
 use std::net::SocketAddr;
 
-use bilberry_platform::MAX_READ_BYTES;
+use bilberry_platform::HttpConnection;
+use bilberry_platform::SendError;
 use bilberry_wire::PlainAnswer;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header::CONTENT_TYPE;
-use hyper_util::client::legacy::Client;
-use hyper_util::rt::TokioExecutor;
+use hyper::header::HOST;
 use thiserror::Error;
+use tokio::net::TcpStream;
 
-use crate::connector::LimitedConnector;
-use crate::exchange::HttpClient;
-use crate::exchange::exchange;
 use crate::exchange::read_body;
 
 /// The maximum size of an answer, which must fit into a frame.
@@ -62,22 +60,27 @@
 /// A plain service over HTTP.
 #[derive(Debug, Clone)]
 pub struct HttpPlainService {
-    client: HttpClient,
     address: SocketAddr,
 }
 
 impl HttpPlainService {
     /// Creates a client; does not connect yet.
     pub fn new(address: SocketAddr) -> Self {
-        // Each call uses a new connection and is never retried by the client. If a
-        // pooled connection had just been closed by the service, it would be unknown
-        // whether the call ran, and a retry could run it twice.
-        let client = Client::builder(TokioExecutor::new())
-            .pool_max_idle_per_host(0)
-            .retry_canceled_requests(false)
-            .http1_max_buf_size(MAX_READ_BYTES)
-            .build(LimitedConnector::default());
-        Self { client, address }
+        Self { address }
+    }
+
+    /// Opens a connection.
+    ///
+    /// Each call uses a new one and is never retried. If a pooled connection had just been
+    /// closed by the service, it would be unknown whether the call ran, and a retry could run
+    /// it twice.
+    async fn connect(&self) -> Result<HttpConnection<Full<Bytes>>, PlainError> {
+        let stream = TcpStream::connect(self.address)
+            .await
+            .map_err(|error| PlainError::Unreachable(error.to_string()))?;
+        HttpConnection::new(stream, self.address)
+            .await
+            .map_err(|error| PlainError::Unreachable(error.to_string()))
     }
 }
 
@@ -85,7 +88,8 @@
     async fn call(&self, call: PlainRequest) -> Result<PlainAnswer, PlainError> {
         let mut request = Request::builder()
             .method(call.method.as_str())
-            .uri(format!("http://{}{}", self.address, call.path));
+            .uri(call.path)
+            .header(HOST, self.address.to_string());
         if !call.content_type.is_empty() {
             request = request.header(CONTENT_TYPE, call.content_type);
         }
@@ -95,12 +99,27 @@
         let request = request
             .body(Full::new(call.body))
             .map_err(|error| PlainError::Unreachable(error.to_string()))?;
-        let answer = exchange(&self.client, request).await?;
+        let mut connection = self.connect().await?;
+        let answer = connection.send(request).await?;
         let status = u32::from(answer.status().as_u16());
         let content_type = answer.headers().get(CONTENT_TYPE);
         let content_type = content_type.and_then(|value| value.to_str().ok());
         let content_type = content_type.unwrap_or_default().to_string();
         let body = read_body(answer, MAX_ANSWER_BYTES).await?;
-        Ok(PlainAnswer { status, content_type, body })
+        match connection.has_surplus_bytes().await {
+            true => Err(PlainError::Lost("bytes follow the answer".to_string())),
+            false => Ok(PlainAnswer { status, content_type, body }),
+        }
+    }
+}
+
+impl From<SendError> for PlainError {
+    fn from(error: SendError) -> Self {
+        match error {
+            SendError::NotSent(reason) => Self::Unreachable(reason),
+            SendError::NoResponse(reason) | SendError::InvalidResponse(reason) => {
+                Self::Lost(reason)
+            }
+        }
     }
 }
