Take no request in a planned stop that can't be answered before its end

What callers saw: an entry that stopped as planned took requests for 2.5 s, and late bodies for 3.5 s, and cut at 7.3 s of 8 s what was not answered by then, without a byte, calls that may not be repeated among them. With a grace period of 3 s it cut at 2.5 s what it had just taken.

Cause: nothing compared what a request may take with what was left, and the times of a stop were fixed.

Change: `PlannedStop` (core, no I/O) derives the times from the grace period. A request is taken if its deadline or the longest recent answer of its route is in time, checked when it is read, while it waits and before it is sent; others get 503 `stopping` at once. Before the end, what has run gets 502 and what has not run 503.

--- a/crates/bilberry-core/src/lib.rs
+++ b/crates/bilberry-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`UnixMs`] and randomness as a seed, so every decision is reproducible in tests.
 
 mod announced_weights;
+mod answer_times;
 mod breaker;
 mod chain;
 mod claim;
@@ -38,6 +39,7 @@
 mod part_sharing;
 mod placement;
 mod placement_time;
+mod planned_stop;
 mod prefill_backlog;
 mod prefills;
 mod queue;
@@ -59,6 +61,7 @@
 mod watch_hub;
 
 pub use announced_weights::AnnouncedWeights;
+pub use answer_times::AnswerTimes;
 pub use breaker::Breaker;
 pub use breaker::BreakerState;
 pub use chain::BLOCK_BYTES;
@@ -155,6 +158,7 @@
 pub use placement::part_key;
 pub use placement_time::PredictedTimes;
 pub use placement_time::predict_times;
+pub use planned_stop::PlannedStop;
 pub use prefill_backlog::PrefillBacklog;
 pub use prefill_backlog::ServiceBacklog;
 pub use prefills::PrefillInProgress;
--- a/crates/bilberry-gateway/src/body_relay.rs
+++ b/crates/bilberry-gateway/src/body_relay.rs
@@ -88,6 +88,7 @@
         self.refund_unless_run(context);
         if outcome == BodyEnd::Complete.outcome() {
             self.record_served(context);
+            self.record_answer_time(context);
         }
         let plain_success =
             outcome == "served" && context.sends == 1 && context.met_target();
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -125,6 +125,7 @@
         loop {
             let reservation = self.acquire_reservation(context).await?;
             self.check_quarantine(context)?;
+            self.check_stop(context)?;
             let upstream = reservation.upstream.clone();
             match self.send(context, reservation).await {
                 SendOutcome::Responded(response)
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -3,8 +3,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -15,6 +13,7 @@
 use bilberry_core::Name;
 use bilberry_core::Outage;
 use bilberry_core::OverloadGate;
+use bilberry_core::PlannedStop;
 use bilberry_core::PrefillsInProgress;
 use bilberry_core::QuotaTolerance;
 use bilberry_core::SoftwareHistory;
@@ -44,6 +43,7 @@
 use crate::known_crashes::KnownCrashes;
 use crate::metrics::ServerLabels;
 use crate::part_use::PartUseRegistry;
+use crate::planned_stop::RouteTimes;
 use crate::pool_summary::PoolSummaries;
 use crate::quota_client::QuotaClient;
 use crate::retry_permit::RetryBudgets;
@@ -116,7 +116,8 @@
     pub(crate) retries: Arc<RetryBudgets>,
     pub(crate) outages: Mutex<HashMap<Name, Outage>>,
     pub(crate) entries: Mutex<EntryCount>,
-    stopping: AtomicBool,
+    pub(crate) planned_stop: watch::Sender<Option<PlannedStop>>,
+    pub(crate) route_times: RouteTimes,
 }
 
 impl<D: Dialect, C: Clock> Gateway<D, C> {
@@ -156,7 +157,8 @@
             store_freshness: Mutex::default(),
             outages: Mutex::default(),
             entries: Mutex::default(),
-            stopping: AtomicBool::new(false),
+            planned_stop: watch::Sender::default(),
+            route_times: RouteTimes::default(),
         }
     }
 
@@ -260,21 +262,11 @@
         }
     }
 
-    /// Begins a planned stop, so that the entry becomes unready for new callers.
-    pub fn stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
-    }
-
     /// Releases the prompt parts of all engines, once no requests are in progress.
     pub fn release_parts(&self) {
         self.part_uses.retire();
     }
 
-    /// Reports whether a planned stop has begun.
-    pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
-    }
-
     /// Takes a transfer between a prompt store and an upstream from the link's budget.
     pub(crate) fn may_use_link(
         &self,
--- a/crates/bilberry-gateway/src/lib.rs
+++ b/crates/bilberry-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod part_use;
 mod placement;
 mod plain_response;
+mod planned_stop;
 mod policy;
 mod pool_summary;
 mod prompt_keys;
--- a/crates/bilberry-gateway/src/placement.rs
+++ b/crates/bilberry-gateway/src/placement.rs
@@ -61,8 +61,10 @@
         let reservation = loop {
             // Created before the check, so that no change in between is missed.
             let changed = self.upstreams.changed.notified();
-            // The causes of crashes may become known while the request waits.
-            if let Err(refusal) = self.check_quarantine(context) {
+            // The causes of crashes may become known while the request waits, and the time
+            // until the end of a stop may become too short.
+            let checked = self.check_quarantine(context);
+            if let Err(refusal) = checked.and_then(|()| self.check_stop(context)) {
                 break Err(refusal);
             }
             let checked_at = self.clock.now();
--- a/crates/bilberry-gateway/src/refusal.rs
+++ b/crates/bilberry-gateway/src/refusal.rs
@@ -37,6 +37,9 @@
     /// No configuration has been loaded yet.
     #[error("this entry has no configuration yet; come back shortly")]
     NotReady,
+    /// The entry is being stopped, and would end before the request is answered.
+    #[error("this entry is being stopped; come back on a new connection")]
+    Stopping,
     /// API keys were not confirmed recently, so this one may have been revoked.
     #[error("keys can't be checked now; come back on a new connection")]
     KeysUnconfirmed,
@@ -114,6 +117,7 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::QuotaExceeded { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::NotReady
+            | Self::Stopping
             | Self::NoMemory
             | Self::KeysUnconfirmed
             | Self::NoCapacity
@@ -144,6 +148,7 @@
             Self::NoMemory => "no_memory",
             Self::BodyIncomplete => "broken_body",
             Self::NotReady => "not_ready",
+            Self::Stopping => "stopping",
             Self::KeysUnconfirmed => "keys_unsure",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
@@ -175,7 +180,11 @@
         }
         if matches!(
             self,
-            Self::NotReady | Self::NoMemory | Self::KeysUnconfirmed | Self::QuotaUnknown
+            Self::NotReady
+                | Self::Stopping
+                | Self::NoMemory
+                | Self::KeysUnconfirmed
+                | Self::QuotaUnknown
         ) {
             // A new connection may lead the caller to an entry that can serve it.
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -108,6 +108,9 @@
             Ok(body) => body,
             Err(refusal) => return self.refuse_early(&context.call.attempt, &refusal),
         };
+        if let Err(refusal) = self.check_stop(&context) {
+            return self.refuse(&context, &refusal);
+        }
         context.key = context.compute_key();
         context.part_causes = context.compute_part_causes();
         if let Err(refusal) = self.check_quarantine(&context) {
@@ -255,6 +258,8 @@
             ReadBodyError::TooLarge(max_bytes) => Refusal::BodyTooLarge(max_bytes),
             ReadBodyError::Timeout(_) => Refusal::DeadlineBeforeSend,
             ReadBodyError::Incomplete => Refusal::BodyIncomplete,
+            // A stopping server gives up bodies that are not read whole.
+            ReadBodyError::NoRoom(_) if self.is_stopping() => Refusal::Stopping,
             ReadBodyError::NoRoom(_) => Refusal::NoMemory,
         })
     }
@@ -292,9 +297,12 @@
             (Refusal::NoCapacity, _) if context.admission_retry_ms.is_some() => {
                 admission_retry_after_ms(context.admission_retry_ms, left_ms)
             }
-            (Refusal::StreamOriginUnknown | Refusal::StreamSoftwareGone, _) => {
-                retry_after_ms(0)
-            }
+            (
+                Refusal::StreamOriginUnknown
+                | Refusal::StreamSoftwareGone
+                | Refusal::Stopping,
+                _,
+            ) => retry_after_ms(0),
             (Refusal::NoWeights, _) => late_retry_after_ms(left_ms),
             (Refusal::Quarantined { for_ms }, _) => *for_ms,
             (Refusal::PartQuarantined { for_ms, .. }, _) => *for_ms,
@@ -372,7 +380,26 @@
 }
 
 impl<D: Dialect, C: Clock> CallerGuard<D, C> {
+    /// Serves the request, or gives it a final answer before the entry ends.
     async fn serve(&mut self) -> ServeOutcome {
+        let gateway = self.gateway.clone();
+        tokio::select! {
+            biased;
+            outcome = self.serve_until_answered() => return outcome,
+            () = gateway.wait_until_final_answers() => {}
+        }
+        let Some(context) = &mut self.context else {
+            return ServeOutcome::Refused(Refusal::NotReady);
+        };
+        context.count_unused_successors();
+        gateway.record_abandoned_run(context);
+        ServeOutcome::Refused(match context.runs > 0 || context.sent_to.is_some() {
+            true => Refusal::OutcomeUnknown,
+            false => Refusal::Stopping,
+        })
+    }
+
+    async fn serve_until_answered(&mut self) -> ServeOutcome {
         let Some(context) = &mut self.context else {
             return ServeOutcome::Refused(Refusal::NotReady);
         };
--- a/crates/bilberryd/src/hosted.rs
+++ b/crates/bilberryd/src/hosted.rs
@@ -78,18 +78,9 @@
 const OPERATOR_LIMITS: HttpLimits =
     HttpLimits { header_bytes: 16 * 1024, header_ms: 60_000, connections: 32 };
 
-/// The time for which a stopping entry still accepts connections.
-///
-/// The load balancer checks readiness once per second and stops sending callers
-/// after two failed checks.
-const LINGER_TIME: Duration = Duration::from_millis(2_500);
-
 /// The time in which a stopping entry releases the prompt parts of engines.
 const RELEASE_TIME: Duration = Duration::from_millis(20);
 
-/// The margin by which a shutdown ends before the platform's limit.
-const GRACE_MARGIN_MS: u64 = 700;
-
 /// The margin by which the validity of a key is shorter than the platform allows.
 ///
 /// Covers the rounding of two clock readings.
@@ -224,11 +215,9 @@
     });
     wait_for_signal().await;
     log::info!(target: "process", grace_ms = settings.grace_ms; "stopping");
-    gateway.stop();
-    sleep(LINGER_TIME).await;
-    let used_ms = LINGER_TIME.as_millis() as u64 + GRACE_MARGIN_MS;
-    let left = Duration::from_millis(settings.grace_ms.saturating_sub(used_ms));
-    let whole = server.stop(left).await;
+    let stop = gateway.stop(settings.grace_ms);
+    sleep(stop.accepts_until.remaining(clock.now())).await;
+    let whole = server.stop(stop.ends_at.remaining(clock.now())).await;
     gateway.release_parts();
     sleep(RELEASE_TIME).await;
     Ok(whole)
