Judge by usual answer times, not the longest, what a stopping entry takes

Cause: one slow answer of a route within 30 s had all its requests refused.

Change: `AnswerTimes` counts answers by time; 90% of the recent ones of a route have to fit into what is left, 99% where a request may run at most once.

--- a/crates/bilberry-core/src/planned_stop.rs
+++ b/crates/bilberry-core/src/planned_stop.rs
@@ -46,16 +46,15 @@
 
     /// Decides whether a request can still be answered.
     ///
-    /// `longest_ms` is the longest time that answers to such requests have taken lately. Where
-    /// that is not known, a request may take until its deadline.
+    /// `usual_ms` is the time within which answers to such requests end as a rule. Where it is
+    /// not known, a request may take until its deadline.
     pub fn can_answer(
         &self,
         deadline: UnixMs,
-        longest_ms: Option<u64>,
+        usual_ms: Option<u64>,
         now: UnixMs,
     ) -> bool {
-        let expected_end =
-            longest_ms.map_or(deadline, |ms| deadline.min(now.plus_ms(ms)));
+        let expected_end = usual_ms.map_or(deadline, |ms| deadline.min(now.plus_ms(ms)));
         expected_end <= self.answers_at
     }
 }
--- a/crates/bilberry-gateway/src/planned_stop.rs
+++ b/crates/bilberry-gateway/src/planned_stop.rs
@@ -19,7 +19,14 @@
 /// The number of routes from which those without recent answers are forgotten.
 const MAX_ROUTES: usize = 1_024;
 
-/// The longest times that recent answers took, by route.
+/// The share of recent answers that must end in the time that is left, if the request may
+/// run again elsewhere.
+const REPEATABLE_SHARE: f64 = 0.9;
+
+/// The same for requests that run at most once.
+const AT_MOST_ONCE_SHARE: f64 = 0.99;
+
+/// How long recent answers took, by route.
 #[derive(Debug, Default)]
 pub(crate) struct RouteTimes(Mutex<HashMap<Name, AnswerTimes>>);
 
@@ -27,13 +34,13 @@
     fn record(&self, route: &Name, took_ms: u64, now: UnixMs) {
         let mut times = self.0.lock().unwrap();
         if times.len() >= MAX_ROUTES {
-            times.retain(|_, times| times.longest_ms(now).is_some());
+            times.retain(|_, times| times.has_recent(now));
         }
         times.entry(route.clone()).or_default().record(took_ms, now);
     }
 
-    fn longest_ms(&self, route: &Name, now: UnixMs) -> Option<u64> {
-        self.0.lock().unwrap().get(route)?.longest_ms(now)
+    fn quantile_ms(&self, route: &Name, share: f64, now: UnixMs) -> Option<u64> {
+        self.0.lock().unwrap().get(route)?.quantile_ms(share, now)
     }
 }
 
@@ -64,8 +71,13 @@
         let route = &context.route;
         // A call that may be repeated gets a final answer in time if it takes longer.
         let assumed_ms = (route.kind == CallKind::Idempotent).then_some(route.target_ms);
-        let longest_ms = self.route_times.longest_ms(&route.name, now).or(assumed_ms);
-        match stop.can_answer(context.deadline, longest_ms, now) {
+        let share = match route.kind.is_repeatable() {
+            true => REPEATABLE_SHARE,
+            false => AT_MOST_ONCE_SHARE,
+        };
+        let usual_ms =
+            self.route_times.quantile_ms(&route.name, share, now).or(assumed_ms);
+        match stop.can_answer(context.deadline, usual_ms, now) {
             true => Ok(()),
             false => Err(Refusal::Stopping),
         }
