--- a/crates/bilberry-core/src/answer_times.rs
+++ b/crates/bilberry-core/src/answer_times.rs
@@ -37,17 +37,17 @@
     /// Returns a time within which this share of the recent answers ended, at most 19% longer
     /// than the longest of them; `None` if there were no answers lately.
     pub fn quantile_ms(&self, share: f64, now: UnixMs) -> Option<u64> {
-        let times = self.at(now);
-        let counts = times.current.iter().zip(&times.last);
-        let counts = counts.map(|(&current, &last)| u64::from(current) + u64::from(last));
-        let needed = (counts.clone().sum::<u64>() as f64 * share).ceil() as u64;
-        let mut counted = 0;
-        let mut ends = counts.enumerate().filter(|&(_, count)| count > 0);
-        let last = ends.find(|&(_, count)| {
-            counted += count;
-            counted >= needed
+        let Self { current, last, .. } = self.at(now);
+        let counts =
+            current.iter().zip(last).map(|(&count, last)| count.saturating_add(last));
+        let total: u64 = counts.clone().map(u64::from).sum();
+        let needed = (total as f64 * share).ceil() as u64;
+        let mut reached = 0;
+        let bucket = counts.map(u64::from).position(|count| {
+            reached += count;
+            count > 0 && reached >= needed
         });
-        last.map(|(bucket, _)| end_ms(bucket))
+        bucket.map(end_ms)
     }
 
     /// Returns whether there were answers lately.
