Keep review's stand-ins buildable: no log in the shared HTTP connection

Seen: review/build.sh failed since, as the lock file of its stand-ins lists the dependencies of bilberry-platform, which had got `log`.

Change: the gateway logs why a request got no response, at level debug, where it sends the request; the shared connection logs nothing.

Evidence: review/build.sh builds.

--- a/crates/bilberry-gateway/src/connections.rs
+++ b/crates/bilberry-gateway/src/connections.rs
@@ -164,7 +164,8 @@
         &mut self,
         request: Request<RequestBody>,
     ) -> Result<Response<FramedBody>, SendError> {
-        self.http.send(request).await
+        let sent = self.http.send(request).await;
+        sent.inspect_err(|error| log::debug!("request to {}: {error}", self.address))
     }
 
     /// Returns whether bytes that begin no response follow one that was read completely.
@@ -185,7 +186,7 @@
     set_tcp_options(&stream);
     enable_keepalive(&stream);
     reset_on_close(&stream);
-    let http = HttpConnection::new(stream, address).await;
+    let http = HttpConnection::new(stream).await;
     let http = http.map_err(|error| ConnectError::Failed(error.to_string()))?;
     Ok(Connection { address, http })
 }
--- a/crates/bilberry-platform/src/connections.rs
+++ b/crates/bilberry-platform/src/connections.rs
@@ -79,5 +79,5 @@
 async fn open(address: SocketAddr) -> Result<HttpConnection<Full<Bytes>>, String> {
     let stream = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
     stream.set_nodelay(true).map_err(|error| error.to_string())?;
-    HttpConnection::new(stream, address).await.map_err(|error| error.to_string())
+    HttpConnection::new(stream).await.map_err(|error| error.to_string())
 }
--- a/crates/bilberry-platform/src/http_connection.rs
+++ b/crates/bilberry-platform/src/http_connection.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::future::poll_fn;
-use std::net::SocketAddr;
 use std::task::Poll;
 
 use bytes::Bytes;
@@ -62,16 +61,15 @@
     B: Body<Data = Bytes, Error = Infallible> + Send + 'static,
 {
     /// Uses an open connection to a server.
-    pub async fn new(stream: TcpStream, address: SocketAddr) -> hyper::Result<Self> {
+    pub async fn new(stream: TcpStream) -> hyper::Result<Self> {
         let head_limit = HeadLimit::new();
         let limited = HeadLimitedStream::new(stream, head_limit.clone());
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_READ_BYTES);
         let (sender, mut connection) = builder.handshake(TokioIo::new(limited)).await?;
         let driver = tokio::spawn(async move {
-            if let Err(error) = (&mut connection).await {
-                log::debug!("connection to {address} failed: {error}");
-            }
+            // The request that uses the connection reports its failure.
+            let _ = (&mut connection).await;
             connection.into_parts().read_buf
         });
         Ok(Self { sender, head_limit, driver: Some(driver) })
--- a/crates/bilberry-sidecar/src/plain.rs
+++ b/crates/bilberry-sidecar/src/plain.rs
@@ -78,7 +78,7 @@
         let stream = TcpStream::connect(self.address)
             .await
             .map_err(|error| PlainError::Unreachable(error.to_string()))?;
-        HttpConnection::new(stream, self.address)
+        HttpConnection::new(stream)
             .await
             .map_err(|error| PlainError::Unreachable(error.to_string()))
     }
