--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -107,6 +107,9 @@
     is_down: watch::Sender<bool>,
     /// Held while a prompt is read.
     reading: tokio::sync::Mutex<()>,
+    /// The time between two events, if answers have no length and end with their connection.
+    unframed_step: Option<Duration>,
+    service: &'static str,
 }
 
 struct State {
@@ -134,6 +137,16 @@
     pub async fn start(
         address: SocketAddr,
         world: Arc<World>,
+    ) -> std::io::Result<Arc<Self>> {
+        Self::start_as("llm", address, world, None).await
+    }
+
+    /// Starts a server of a service whose answers have no length if `unframed_step` is set.
+    pub async fn start_as(
+        service: &'static str,
+        address: SocketAddr,
+        world: Arc<World>,
+        unframed_step: Option<Duration>,
     ) -> std::io::Result<Arc<Self>> {
         let listener = TcpListener::bind(address).await?;
         world.with(address, |cache| cache.epoch = 1);
@@ -155,6 +168,8 @@
             boots: watch::Sender::new(0),
             is_down: watch::Sender::new(false),
             reading: tokio::sync::Mutex::default(),
+            unframed_step,
+            service,
         });
         tokio::spawn(engine.clone().accept(listener));
         Ok(engine)
@@ -187,6 +202,13 @@
 
     /// Returns its entry in the list of servers.
     pub fn entry(&self) -> Value {
+        if self.service != "llm" {
+            return json!({
+                "Service": self.service, "Address": self.address.to_string(),
+                "Zone": "hall-a", "Version": "v1", "Slots": 6, "State": "ready",
+                "ColdLeftMs": 0, "Seq": 1,
+            });
+        }
         json!({
             "Service": "llm", "Address": self.address.to_string(), "Zone": "hall-a",
             "Version": "v1", "Slots": 32, "State": "ready", "ColdLeftMs": 0,
@@ -506,9 +528,14 @@
 
     async fn stream(&self, stream: &mut TcpStream, request: &RawRequest) -> bool {
         let attempt = request.header("x-attempt-id");
+        let framing = match self.unframed_step {
+            Some(_) => "Connection: close",
+            None => "Transfer-Encoding: chunked",
+        };
+        let kind = if self.service == "llm" { "text/event-stream" } else { "text/plain" };
         let head = format!(
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Seal: {}.1\r\n\
-             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+             Content-Type: {kind}\r\n{framing}\r\n\r\n",
             self.id()
         );
         if stream.write_all(head.as_bytes()).await.is_err() {
@@ -521,13 +548,16 @@
                 run.1 += 1;
             }
             let event = format!("id: {id}\ndata: {}\n\n", self.version());
-            let piece = format!("{:x}\r\n{event}\r\n", event.len());
+            let piece = match self.unframed_step {
+                Some(_) => event,
+                None => format!("{:x}\r\n{event}\r\n", event.len()),
+            };
             if stream.write_all(piece.as_bytes()).await.is_err() {
                 return false;
             }
-            sleep(STEP).await;
+            sleep(self.unframed_step.unwrap_or(STEP)).await;
         }
-        stream.write_all(b"0\r\n\r\n").await.is_ok()
+        self.unframed_step.is_none() && stream.write_all(b"0\r\n\r\n").await.is_ok()
     }
 }
 
--- a/review/standins-2/src/process.rs
+++ b/review/standins-2/src/process.rs
@@ -9,6 +9,10 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
+pub use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+
 /// A process that is killed on drop, with a temporary settings file and log.
 pub struct Process {
     child: Child,
@@ -44,6 +48,11 @@
         self.child.id()
     }
 
+    /// Sends the process a signal.
+    pub fn signal(&self, signal: Signal) {
+        let _ = kill(Pid::from_raw(self.child.id() as i32), signal);
+    }
+
     /// Returns the log so far.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.files[1]).unwrap_or_default()
@@ -59,12 +68,6 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        if let Ok(folder) = std::env::var("KEEP_LOGS") {
-            let _ = std::fs::copy(
-                &self.files[1],
-                PathBuf::from(folder).join(self.files[1].file_name().unwrap()),
-            );
-        }
         for file in &self.files {
             let _ = std::fs::remove_file(file);
         }
