--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -23,6 +23,9 @@
 /// The model of all servers.
 pub const MODEL: &str = "daka510000";
 
+/// The second model of servers that have two.
+pub const SECOND_MODEL: &str = "daka520000";
+
 /// How many prompt tokens are read in a millisecond, and in one piece.
 const TOKENS_PER_MS: u64 = 110;
 const CHUNK_TOKENS: u64 = 4_096;
@@ -123,6 +126,16 @@
     orderable: u64,
     /// The order that gets no answer, and when it is carried out at the earliest.
     late: Late,
+    second: Option<SecondModel>,
+    /// Whether orders with a lower fencing token than an earlier one are rejected.
+    checks_fences: bool,
+    /// The fencing tokens of all orders since the server has started.
+    tokens: Vec<u64>,
+}
+
+struct SecondModel {
+    version: u64,
+    orderable: u64,
 }
 
 enum Late {
@@ -160,6 +173,9 @@
             runs: BTreeMap::new(),
             orderable: 1,
             late: Late::No,
+            second: None,
+            checks_fences: false,
+            tokens: Vec::new(),
         };
         let engine = Arc::new(Self {
             address,
@@ -185,6 +201,58 @@
         self.state.lock().unwrap().version
     }
 
+    /// Gives the server a second model, with version 1.
+    pub fn add_second_model(&self, checks_fences: bool) {
+        let mut state = self.state.lock().unwrap();
+        state.second = Some(SecondModel { version: 1, orderable: 1 });
+        state.checks_fences = checks_fences;
+    }
+
+    /// Sets the newest version of the second model that can be ordered.
+    pub fn name_second_version(&self, version: u64) {
+        if let Some(second) = &mut self.state.lock().unwrap().second {
+            second.orderable = version;
+        }
+    }
+
+    /// Returns the version of the second model.
+    pub fn second_version(&self) -> Option<u64> {
+        self.state.lock().unwrap().second.as_ref().map(|second| second.version)
+    }
+
+    /// Returns the first fencing token below an earlier one, after the highest before it.
+    pub fn lower_token(&self) -> Option<(u64, u64)> {
+        let state = self.state.lock().unwrap();
+        let mut highest = 0;
+        for &token in &state.tokens {
+            if token < highest {
+                return Some((highest, token));
+            }
+            highest = token;
+        }
+        None
+    }
+
+    /// Returns the version of the model that a request is for.
+    fn version_for(&self, request: &RawRequest) -> u64 {
+        match request.header("x-model") {
+            SECOND_MODEL => self.second_version().unwrap_or_default(),
+            _ => self.version(),
+        }
+    }
+
+    fn models(&self) -> Value {
+        let state = self.state.lock().unwrap();
+        let models = [
+            Some((MODEL, state.version)),
+            state.second.as_ref().map(|second| (SECOND_MODEL, second.version)),
+        ];
+        let models = models.into_iter().flatten();
+        let model =
+            |(name, version)| json!({"Name": name, "Version": version, "Adapters": []});
+        models.map(model).collect()
+    }
+
     /// Returns how many requests have run.
     pub fn begun(&self) -> u64 {
         self.state.lock().unwrap().begun
@@ -213,7 +281,7 @@
             "Service": "llm", "Address": self.address.to_string(), "Zone": "hall-a",
             "Version": "v1", "Slots": 32, "State": "ready", "ColdLeftMs": 0,
             "Stage": "combined",
-            "Models": [{"Name": MODEL, "Version": self.version(), "Adapters": []}],
+            "Models": self.models(),
             "Seq": 1,
         })
     }
@@ -229,6 +297,7 @@
             state.active = 0;
             state.queued = 0;
             state.runs.clear();
+            state.tokens.clear();
         }
         self.world.with(self.address, |cache| {
             *cache = Cache { epoch: cache.epoch + 1, ..Cache::default() };
@@ -291,13 +360,14 @@
     }
 
     fn report(&self) -> Value {
+        let models = self.models();
         let state = self.state.lock().unwrap();
         let runs = state.runs.iter();
         let runs: Vec<Value> =
             runs.map(|(id, (tokens, events))| json!([id, tokens, events, 1])).collect();
         json!({
             "Stage": "combined",
-            "Models": [{"Name": MODEL, "Version": state.version, "Adapters": []}],
+            "Models": models,
             "Busy": state.is_loading, "Seq": state.orders, "Queued": state.queued,
             "Active": state.active, "KvUsed": 0, "KvTotal": 123_073, "OpenHandles": 0,
             "State": "ready", "Next": 0, "Runs": runs,
@@ -350,12 +420,20 @@
     fn check(&self, order: &Value) -> u16 {
         let mut state = self.state.lock().unwrap();
         let version = order["Version"].as_u64().unwrap_or_default();
+        let (current, orderable) = match (&state.second, order["Model"].as_str()) {
+            (Some(second), Some(SECOND_MODEL)) => (second.version, second.orderable),
+            _ => (state.version, state.orderable),
+        };
+        let token = order["FenceToken"].as_u64().unwrap_or_default();
+        let highest = state.tokens.iter().max().copied().unwrap_or_default();
+        state.tokens.push(token);
         match order["Expected"].as_u64() {
             _ if order["Holder"].is_null() || order["FenceToken"].is_null() => 400,
-            _ if version == 0 || version > state.orderable => 400,
+            _ if state.checks_fences && token < highest => 412,
+            _ if version == 0 || version > orderable => 400,
             Some(expected) if expected != state.orders => 409,
             _ if state.is_loading => 409,
-            _ if version == state.version => 200,
+            _ if version == current => 200,
             _ => {
                 state.orders += 1;
                 state.is_loading = true;
@@ -378,11 +456,16 @@
         self.world.with(self.address, Cache::clear);
         let mut state = self.state.lock().unwrap();
         state.is_loading = false;
-        state.version = order["Version"].as_u64().unwrap_or_default();
-        let (version, runs) = (state.version, state.active);
+        let version = order["Version"].as_u64().unwrap_or_default();
+        let model = order["Model"].as_str().unwrap_or(MODEL);
+        match &mut state.second {
+            Some(second) if model == SECOND_MODEL => second.version = version,
+            _ => state.version = version,
+        }
+        let runs = state.active;
         drop(state);
         self.world.note(format!(
-            "server {}: has weights {version} now, {runs} runs went on ({})",
+            "server {}: has weights {version} of {model} now, {runs} runs went on ({})",
             self.id(),
             order["SwapMode"]
         ));
@@ -428,15 +511,14 @@
         }
         self.state.lock().unwrap().queued += 1;
         let turn = self.reading.lock().await;
+        let version = self.version_for(request);
         let rejected = {
             let mut state = self.state.lock().unwrap();
             state.queued = state.queued.saturating_sub(1);
             let weights = request.header("x-expect-version");
             match () {
                 _ if state.is_loading => Some(503),
-                _ if !weights.is_empty() && weights != state.version.to_string() => {
-                    Some(421)
-                }
+                _ if !weights.is_empty() && weights != version.to_string() => Some(421),
                 _ => {
                     state.active += 1;
                     state.begun += 1;
@@ -468,7 +550,7 @@
         let salt = request.header("x-cache-salt").to_string();
         let source = request.header("x-kv-fetch").parse::<SocketAddr>().ok();
         let save_to = request.header("x-kv-save").parse::<SocketAddr>().ok();
-        let began_on = self.version();
+        let began_on = self.version_for(request);
         let prefix = request.header("x-prompt-prefix").split(',');
         let parts: Vec<(String, u64)> = prefix
             .filter_map(|part| part.split_once(':'))
@@ -486,7 +568,7 @@
             is_found &= found.is_some();
             let version = match found {
                 Some((at, (_, made_on))) => {
-                    let version = self.version();
+                    let version = self.version_for(request);
                     if made_on != version {
                         let text = format!(
                             "server {}: {attempt} runs on weights {version} and uses part \
@@ -506,7 +588,7 @@
                         sleep(Duration::from_millis(chunk.div_ceil(TOKENS_PER_MS))).await;
                         left -= chunk;
                     }
-                    self.version()
+                    self.version_for(request)
                 }
             };
             if version != began_on && found.is_none() {
@@ -547,7 +629,7 @@
             if let Some(run) = self.state.lock().unwrap().runs.get_mut(attempt) {
                 run.1 += 1;
             }
-            let event = format!("id: {id}\ndata: {}\n\n", self.version());
+            let event = format!("id: {id}\ndata: {}\n\n", self.version_for(request));
             let piece = match self.unframed_step {
                 Some(_) => event,
                 None => format!("{:x}\r\n{event}\r\n", event.len()),
