Send a salt for customers whose names are no header values

A request of an isolated customer whose name has a control character had no salt, as the header can't carry the name, and what has no salt is shared by all. The salts of a customer `a` with model `b/c` and of a customer `a/b` with model `c` were the same text.

Old and new entries beside each other share no parts of isolated customers; those of others are shared as before.

--- a/crates/bilberry-core/src/lib.rs
+++ b/crates/bilberry-core/src/lib.rs
@@ -7,6 +7,7 @@
 mod announced_weights;
 mod answer_times;
 mod breaker;
+mod cache_scope;
 mod chain;
 mod claim;
 mod client_budget;
@@ -64,6 +65,7 @@
 pub use answer_times::AnswerTimes;
 pub use breaker::Breaker;
 pub use breaker::BreakerState;
+pub use cache_scope::CacheScope;
 pub use chain::BLOCK_BYTES;
 pub use chain::Chain;
 pub use chain::Fingerprint;
--- a/crates/bilberry-gateway/src/request_context.rs
+++ b/crates/bilberry-gateway/src/request_context.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bilberry_core::CacheScope;
 use bilberry_core::CrashCause;
 use bilberry_core::PlacementRequest;
 use bilberry_core::PredictedTimes;
@@ -28,8 +29,8 @@
 use crate::successor::UnusedSuccessors;
 use crate::trials::Trial;
 
-/// The salt scope of customers whose cached prompts may be shared.
-const SHARED_SALT_SCOPE: &str = "shared";
+/// The scope of crash causes in the prompts of customers that are not isolated.
+const SHARED_CRASH_SCOPE: &str = "shared";
 
 /// The divisor of the silence that a caller accepts which gives the time that an answer
 /// needs to reach it, on an entry without processor time too.
@@ -248,7 +249,7 @@
     ///
     /// They depend on no weights, as new weights may crash on a part as well.
     pub fn compute_part_causes(&self) -> Vec<CrashCause> {
-        let scope = self.salt_scope();
+        let scope = self.crash_scope();
         let parts = self.call.shared_parts().iter();
         parts.map(|part| CrashCause::part(&scope, part.id)).collect()
     }
@@ -267,18 +268,27 @@
     /// Returns the cache salt of the request's prompt.
     ///
     /// It includes the version of the weights, as a prompt store also keeps what older
-    /// weights computed. An isolated customer's name separates its prompts from all
-    /// others.
+    /// weights computed.
     pub fn salt(&self, weights: u64) -> String {
         let model = self.model();
-        format!("{}/{model}/{weights}", self.salt_scope())
+        format!("{}/{model}/{weights}", self.cache_scope())
     }
 
-    /// Returns the scope in which prompt parts with the same id are the same.
-    fn salt_scope(&self) -> String {
+    /// Returns the scope in which the request shares cached prompt parts.
+    fn cache_scope(&self) -> CacheScope {
+        match self.customer.as_ref().filter(|customer| customer.isolated) {
+            Some(customer) => CacheScope::of_customer(&customer.name),
+            None => CacheScope::default(),
+        }
+    }
+
+    /// Returns the scope in which parts with the same id are the same cause of crashes.
+    ///
+    /// Its name is that of the previous release, with whose entries reports are shared.
+    fn crash_scope(&self) -> String {
         match self.customer.as_ref().filter(|customer| customer.isolated) {
             Some(customer) => format!("only-{}", customer.name),
-            None => SHARED_SALT_SCOPE.to_string(),
+            None => SHARED_CRASH_SCOPE.to_string(),
         }
     }
 
