Derive the scope of shared prompt parts from the isolated customers

Cause: the salt of all customers that are not isolated was a constant, in engines, prompt stores and fetches alike. Isolating a customer changed the salt of its own later requests only, and what all of them had made before stayed in the common place.

The shared scope is now named by the set of isolated customers. Requests of a customer never use a scope whose set has that customer, so the parts under it were made by others, in any series of changes. It needs no memory, so processes that start anew, that missed versions, or read an older copy derive the same. A customer that is isolated without a key counts; such customers were dropped as the configuration was read. With nobody isolated the scope keeps its name, so entries of the previous release share with new ones.

--- a/crates/bilberry-core/src/cache_scope.rs
+++ b/crates/bilberry-core/src/cache_scope.rs
@@ -1,15 +1,22 @@
 //! The scopes in which customers share cached prompt parts.
 //!
 //! Engines and prompt stores find a part under the salt of the request that made it, and
-//! whoever sends the same salt uses it. The scope is what separates customers in a salt.
+//! whoever sends the same salt uses it. The scope is what separates customers in a salt. Its
+//! name determines whose requests may have made its parts, so a process needs no memory of
+//! earlier configurations: all processes derive the same scopes from the same one.
 
+use std::collections::BTreeSet;
 use std::fmt;
+use std::sync::Arc;
 
 use crate::Name;
 
-/// The scope of the customers that are not isolated.
+/// The name of the scope that excludes nobody, and the prefix of the names of others.
 const SHARED: &str = "shared";
 
+/// The prefix of the names of scopes of one customer.
+const PRIVATE: &str = "only-";
+
 /// The number of hexadecimal digits in the name of a scope.
 const DIGITS: usize = 32;
 
@@ -20,7 +27,23 @@
 impl CacheScope {
     /// Returns the scope of one customer's requests.
     pub fn of_customer(customer: &str) -> Self {
-        Self(ecow::eco_format!("only-{}", digest(customer)))
+        Self(ecow::eco_format!("{PRIVATE}{}", digest([customer])))
+    }
+
+    /// Returns the scope of the requests of all customers but these.
+    fn excluding(customers: &BTreeSet<Name>) -> Self {
+        match customers.is_empty() {
+            true => Self(SHARED.into()),
+            false => {
+                let names = customers.iter().map(Name::as_str);
+                Self(ecow::eco_format!("{SHARED}-{}", digest(names)))
+            }
+        }
+    }
+
+    /// Reports whether it is the scope of one customer's requests.
+    pub fn is_private(&self) -> bool {
+        self.0.starts_with(PRIVATE)
     }
 
     /// Returns the name.
@@ -29,20 +52,69 @@
     }
 }
 
-impl Default for CacheScope {
+impl fmt::Display for CacheScope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// The customers that a configuration isolates.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct IsolatedCustomers {
+    names: Arc<BTreeSet<Name>>,
+    shared_scope: CacheScope,
+}
+
+impl IsolatedCustomers {
+    /// Returns the number of customers.
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+
+    /// Reports whether nobody is isolated.
+    pub fn is_empty(&self) -> bool {
+        self.names.is_empty()
+    }
+
+    /// Reports whether a customer is isolated.
+    pub fn contains(&self, customer: &str) -> bool {
+        self.names.contains(customer)
+    }
+
+    /// Returns the scope of a customer's requests, or of requests without a customer.
+    ///
+    /// Only customers outside the set make parts in the shared scope, whatever they were
+    /// before. A scope that a customer has used is therefore never one of a set with it.
+    pub fn scope_of(&self, customer: Option<&str>) -> CacheScope {
+        match customer.filter(|customer| self.contains(customer)) {
+            Some(customer) => CacheScope::of_customer(customer),
+            None => self.shared_scope.clone(),
+        }
+    }
+}
+
+impl Default for IsolatedCustomers {
     fn default() -> Self {
-        Self(SHARED.into())
+        Self::from_iter([])
     }
 }
 
-impl fmt::Display for CacheScope {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
+impl FromIterator<Name> for IsolatedCustomers {
+    fn from_iter<T: IntoIterator<Item = Name>>(customers: T) -> Self {
+        let names: BTreeSet<Name> = customers.into_iter().collect();
+        let shared_scope = CacheScope::excluding(&names);
+        Self { names: Arc::new(names), shared_scope }
     }
 }
 
-/// Hashes a name, as not every name can be sent in a header, and one with a slash could make
+/// Hashes names, as not every name can be sent in a header, and one with a slash could make
 /// two salts equal.
-fn digest(name: &str) -> String {
-    blake3::hash(name.as_bytes()).to_hex()[..DIGITS].to_string()
+fn digest<'a>(names: impl IntoIterator<Item = &'a str>) -> String {
+    let mut hasher = blake3::Hasher::new();
+    for name in names {
+        // The length prefix distinguishes names that are equal when concatenated.
+        hasher.update(&(name.len() as u64).to_le_bytes());
+        hasher.update(name.as_bytes());
+    }
+    hasher.finalize().to_hex()[..DIGITS].to_string()
 }
--- a/crates/bilberry-gateway/src/policy.rs
+++ b/crates/bilberry-gateway/src/policy.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use bilberry_core::IsolatedCustomers;
 use bilberry_core::Name;
 use bilberry_core::pools_with_yielding_routes;
 use bilberry_node::ClientTimeouts;
@@ -22,6 +23,8 @@
     pub ordered_pools: HashMap<Name, u64>,
     /// The customer of each API key; `None` if requests need no key.
     pub customers: Option<HashMap<Name, Arc<Customer>>>,
+    /// The customers whose cached prompts are isolated, with or without keys.
+    pub isolated: IsolatedCustomers,
     /// The limits on callers.
     pub limits: CallerLimits,
 }
@@ -121,8 +124,6 @@
     pub name: Name,
     /// Its priority, which overrides the route's.
     pub priority: Option<u8>,
-    /// Whether its cached prompts are isolated from those of other customers.
-    pub isolated: bool,
     /// The limit on its use, over all entries.
     pub quota: Option<CustomerQuota>,
 }
--- a/crates/bilberry-gateway/src/request_context.rs
+++ b/crates/bilberry-gateway/src/request_context.rs
@@ -49,6 +49,8 @@
     pub customer: Option<Arc<Customer>>,
     /// The service chosen by the route's traffic split.
     pub pool: Arc<Pool>,
+    /// The scope in which the request shares cached prompt parts.
+    pub scope: CacheScope,
     /// The version of the configuration that was used for routing.
     pub config_version: u64,
     /// The method.
@@ -271,22 +273,14 @@
     /// weights computed.
     pub fn salt(&self, weights: u64) -> String {
         let model = self.model();
-        format!("{}/{model}/{weights}", self.cache_scope())
-    }
-
-    /// Returns the scope in which the request shares cached prompt parts.
-    fn cache_scope(&self) -> CacheScope {
-        match self.customer.as_ref().filter(|customer| customer.isolated) {
-            Some(customer) => CacheScope::of_customer(&customer.name),
-            None => CacheScope::default(),
-        }
+        format!("{}/{model}/{weights}", self.scope)
     }
 
     /// Returns the scope in which parts with the same id are the same cause of crashes.
     ///
     /// Its name is that of the previous release, with whose entries reports are shared.
     fn crash_scope(&self) -> String {
-        match self.customer.as_ref().filter(|customer| customer.isolated) {
+        match self.customer.as_ref().filter(|_| self.scope.is_private()) {
             Some(customer) => format!("only-{}", customer.name),
             None => SHARED_CRASH_SCOPE.to_string(),
         }
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -24,6 +24,7 @@
 use hyper::http::request::Parts;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::Customer;
 use crate::Dialect;
 use crate::Gateway;
 use crate::Policy;
@@ -185,6 +186,9 @@
             }
             _ => None,
         };
+        let name =
+            customer.as_ref().map(|customer: &Arc<Customer>| customer.name.as_str());
+        let scope = policy.isolated.scope_of(name);
         let target = route.target(xxh3_64(call.attempt.as_bytes()));
         let pool = target.and_then(|pool| policy.pools.get(pool)).cloned();
         let pool = pool.ok_or(Refusal::NoCapacity)?;
@@ -195,6 +199,7 @@
             call,
             route,
             customer,
+            scope,
             pool,
             config_version: policy.version,
             method: head.method,
