Send each request in the cache scope of the configuration in force

The request context kept the customer and the keys of its arrival, and the request was built before its connection was open.

Each send now takes the scope by the configuration in force, and the request is built once the connection is open and its incarnation is known, with no wait before the send. A customer that was isolated when its request arrived keeps its own scope.

--- a/crates/bilberry-gateway/src/dispatch.rs
+++ b/crates/bilberry-gateway/src/dispatch.rs
@@ -27,7 +27,9 @@
 const MAX_SAVING_ANSWER_MS: u64 = 1_000;
 
 impl<D: Dialect, C: Clock> Gateway<D, C> {
-    /// Builds the request for an upstream.
+    /// Builds the request for an upstream by the configuration in force.
+    ///
+    /// Called when the connection is open, so that no wait comes before the send.
     pub(crate) fn request(
         &self,
         context: &mut RequestContext,
@@ -35,6 +37,7 @@
         last_event: Option<u64>,
         resume_from: Option<KvCacheCopy>,
     ) -> Request<RequestBody> {
+        self.update_scope(context);
         let now = self.clock.now();
         let is_engine = context.pool.engine.is_some();
         let mut dispatch = Dispatch {
--- a/crates/bilberry-gateway/src/forward.rs
+++ b/crates/bilberry-gateway/src/forward.rs
@@ -238,8 +238,6 @@
         let upstream = reservation.upstream.clone();
         context.tried.push(upstream.clone());
         context.backup = self.choose_backup(context, &upstream);
-        let last_event = context.call.last_event;
-        let request = self.request(context, &mut reservation, last_event, None);
         // An at-most-once call gets a new connection. On a reused one, a response to
         // another call, or a close during the send, would leave it unknown whether the
         // call ran.
@@ -267,6 +265,8 @@
         if context.trial.is_some() {
             self.metrics.trials.inc();
         }
+        let last_event = context.call.last_event;
+        let request = self.request(context, &mut reservation, last_event, None);
         context.sends += 1;
         reservation.mark_sent();
         context.set_retry_sent(true);
@@ -380,13 +380,13 @@
     ) -> Result<UpstreamResponse, CopySendError> {
         let upstream = reservation.upstream.clone();
         context.tried.push(upstream.clone());
-        let request = self.request(context, &mut reservation, last_event, Some(copy));
         let connected = self.connections.get(upstream.address, true).await;
         let mut connection = connected.map_err(|_| CopySendError::NotRun)?;
         if self.is_suspect(context) {
             context.add_detail("the request may crash the backup engine as well");
             return Err(CopySendError::MayHaveRun);
         }
+        let request = self.request(context, &mut reservation, last_event, Some(copy));
         context.sends += 1;
         reservation.mark_sent();
         context.set_retry_sent(true);
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -35,6 +35,7 @@
 use crate::Policy;
 use crate::PromptStore;
 use crate::PromptStores;
+use crate::RequestContext;
 use crate::SidecarPresenceMap;
 use crate::SpeedEstimates;
 use crate::Upstream;
@@ -187,6 +188,16 @@
         self.upstreams.status_changed.notify_one();
     }
 
+    /// Sets the cache scope of a request by the configuration in force.
+    ///
+    /// Called before each send: the configuration may have changed since the request
+    /// arrived or was sent before.
+    pub(crate) fn update_scope(&self, context: &mut RequestContext) {
+        if let Some(policy) = self.policy.load().as_ref() {
+            context.update_scope(&policy.isolated);
+        }
+    }
+
     /// Updates the record of when the configuration was last confirmed.
     pub fn confirm(&self, change: impl FnOnce(&mut Freshness)) {
         change(&mut self.policy_freshness.lock().unwrap());
--- a/crates/bilberry-gateway/src/placement.rs
+++ b/crates/bilberry-gateway/src/placement.rs
@@ -172,6 +172,7 @@
         context: &mut RequestContext,
         attempts: &AdmissionAttempts,
     ) -> Option<Placement> {
+        self.update_scope(context);
         let now = self.clock.now();
         let standing = self.standing(context);
         // The request waits until its quarantine takes effect or is lifted, and for the
--- a/crates/bilberry-gateway/src/request_context.rs
+++ b/crates/bilberry-gateway/src/request_context.rs
@@ -4,6 +4,7 @@
 
 use bilberry_core::CacheScope;
 use bilberry_core::CrashCause;
+use bilberry_core::IsolatedCustomers;
 use bilberry_core::PlacementRequest;
 use bilberry_core::PredictedTimes;
 use bilberry_core::RequestKey;
@@ -108,7 +109,7 @@
     pub weights_outdated_ms: Option<u64>,
     /// The times predicted when it was placed, if the pace of its upstreams is known.
     pub predicted: Option<PredictedTimes>,
-    /// The keys of the shared prompt parts, by the version of the weights.
+    /// The keys of the shared prompt parts in its scope, by the version of the weights.
     pub prompt_keys: Vec<(u64, Arc<PromptKeys>)>,
     /// The shared parts that the upstream computes for it, once announced to other
     /// entries.
@@ -267,6 +268,21 @@
         self.call.model.as_deref().unwrap_or_default()
     }
 
+    /// Sets the scope by the customers that are isolated now.
+    ///
+    /// A customer that was isolated when the request arrived keeps its own scope.
+    pub(crate) fn update_scope(&mut self, isolated: &IsolatedCustomers) {
+        if self.scope.is_private() {
+            return;
+        }
+        let customer = self.customer.as_ref().map(|customer| customer.name.as_str());
+        let scope = isolated.scope_of(customer);
+        if scope != self.scope {
+            self.scope = scope;
+            self.prompt_keys.clear();
+        }
+    }
+
     /// Returns the cache salt of the request's prompt.
     ///
     /// It includes the version of the weights, as a prompt store also keeps what older
@@ -286,8 +302,8 @@
         }
     }
 
-    /// Returns the keys of the shared prompt parts, computed once per version of the
-    /// weights.
+    /// Returns the keys of the shared prompt parts, computed once per scope and version of
+    /// the weights.
     pub fn keys(&mut self, weights: u64) -> Arc<PromptKeys> {
         if let Some((_, keys)) = self.prompt_keys.iter().find(|(at, _)| *at == weights) {
             return keys.clone();
