Keep blame for crashes across changes of isolation

A part in quarantine crashed engines again once its customer was isolated, or isolated no longer: 200 and a crash where 503 is due. The cause that a part is was named by the scope in which prompts are cached, so what was known of it stood under another name after the change.

What identifies a part for blame and what separates caches are two questions now. A part is one cause for all customers that are not isolated and one for each that is; a request is judged by both, and a run is evidence on the one of its time, and on those of which it is a trial.

--- a/crates/bilberry-core/src/crashes/cause.rs
+++ b/crates/bilberry-core/src/crashes/cause.rs
@@ -24,7 +24,9 @@
     /// Returns the cause that a part of prompts is.
     ///
     /// Parts are told apart by the scope in which their ids are shared, so that the
-    /// prompts of an isolated customer say nothing of another's.
+    /// prompts of an isolated customer say nothing of another's. The scope of a cause does
+    /// not follow that of the cache, which changes as customers are isolated: a part that
+    /// crashes servers does so after the change as well.
     pub fn part(scope: &str, id: u64) -> Self {
         let parts: [&[u8]; 3] = [b"prompt part", scope.as_bytes(), &id.to_le_bytes()];
         Self::request(RequestKey::from_parts(&parts))
--- a/crates/bilberry-core/src/lib.rs
+++ b/crates/bilberry-core/src/lib.rs
@@ -93,6 +93,7 @@
 pub use crashes::CrashCause;
 pub use crashes::CrashLedger;
 pub use crashes::CrashReport;
+pub use crashes::PartCauses;
 pub use crashes::RequestStanding;
 pub use crashes::RequestStatus;
 pub use cursor::Accept;
--- a/crates/bilberry-gateway/src/crashes.rs
+++ b/crates/bilberry-gateway/src/crashes.rs
@@ -175,8 +175,9 @@
     /// Records that a server has answered on the request's prompt and lived, so that
     /// crashes are not attributed to the parts of the prompt, and ends its trial.
     pub(crate) fn record_sound_parts(&self, context: &mut RequestContext) {
+        let causes = context.causes_of_run();
         context.trial = None;
-        self.record_harmless(&context.part_causes);
+        self.record_harmless(&causes);
     }
 
     fn record_harmless(&self, causes: &[CrashCause]) {
@@ -199,7 +200,7 @@
 
     /// Returns whether and how a request may be sent.
     pub(crate) fn standing(&self, context: &RequestContext) -> RequestStanding {
-        let (request, parts) = (context.cause(), &context.part_causes);
+        let (request, parts) = (context.cause(), context.part_causes.all());
         self.crashes.standing_of(request, parts, self.clock.now())
     }
 
@@ -213,7 +214,8 @@
             _ if standing.is_pending => Ok(()),
             RequestStatus::Quarantined { until } => {
                 let for_ms = until.ms_since(self.clock.now());
-                let part = standing.blamed.and_then(|cause| context.part_id(cause));
+                let part =
+                    standing.blamed.and_then(|cause| context.part_causes.id_of(cause));
                 Err(match part {
                     Some(part) => Refusal::PartQuarantined { part, for_ms },
                     None => Refusal::Quarantined { for_ms },
@@ -356,7 +358,7 @@
 struct InterruptedRun {
     /// Whether the request was suspect when it was sent.
     was_suspect: bool,
-    /// The shared parts of the prompt, each as a cause and by its id.
+    /// The parts of the prompt on which the run is evidence, each as a cause and by its id.
     part_causes: Vec<(CrashCause, u64)>,
     /// Kept until it is known whether the run crashed its server, so that no other run of
     /// the same parts begins meanwhile.
@@ -386,8 +388,9 @@
             sent_at: context.sent_at,
             ran_ms: 0,
             part_causes: {
-                let ids = context.call.shared_parts().iter().map(|part| part.id);
-                context.part_causes.iter().copied().zip(ids).collect()
+                let causes = context.causes_of_run().into_iter();
+                let with_id = |cause| Some((cause, context.part_causes.id_of(cause)?));
+                causes.filter_map(with_id).collect()
             },
             trial: context.trial.clone(),
             was_suspect: context.was_suspect,
@@ -422,8 +425,14 @@
     }
 
     fn log(&self, upstream: &Upstream) {
-        let parts = self.part_causes.iter().take(MAX_LOGGED_PARTS);
-        let parts: Vec<String> = parts.map(|(_, id)| format!("{id:x}")).collect();
+        let mut parts: Vec<String> = Vec::new();
+        for (_, id) in self.part_causes.iter().take(MAX_LOGGED_PARTS) {
+            // A part in a trial may be there as two causes.
+            let id = format!("{id:x}");
+            if !parts.contains(&id) {
+                parts.push(id);
+            }
+        }
         log::warn!(
             target: "crash",
             request = self.attempt.as_str(),
--- a/crates/bilberry-gateway/src/request_context.rs
+++ b/crates/bilberry-gateway/src/request_context.rs
@@ -5,6 +5,7 @@
 use bilberry_core::CacheScope;
 use bilberry_core::CrashCause;
 use bilberry_core::IsolatedCustomers;
+use bilberry_core::PartCauses;
 use bilberry_core::PlacementRequest;
 use bilberry_core::PredictedTimes;
 use bilberry_core::RequestKey;
@@ -30,9 +31,6 @@
 use crate::successor::UnusedSuccessors;
 use crate::trials::Trial;
 
-/// The scope of crash causes in the prompts of customers that are not isolated.
-const SHARED_CRASH_SCOPE: &str = "shared";
-
 /// The divisor of the silence that a caller accepts which gives the time that an answer
 /// needs to reach it, on an entry without processor time too.
 const PATIENCE_MARGIN_DIVISOR: u64 = 8;
@@ -64,9 +62,8 @@
     pub body: RequestBody,
     /// The key shared by all attempts of the request; set once the body is read.
     pub key: RequestKey,
-    /// The shared parts of the prompt as possible causes of crashes, in prompt order; set
-    /// with the key.
-    pub part_causes: Vec<CrashCause>,
+    /// The shared parts of the prompt as possible causes of crashes; set with the key.
+    pub part_causes: PartCauses,
     /// When the request's head was read.
     pub arrived_at: UnixMs,
     /// The earlier of the caller's and the route's deadline.
@@ -251,16 +248,26 @@
     /// Computes the causes that the shared parts of the prompt are.
     ///
     /// They depend on no weights, as new weights may crash on a part as well.
-    pub fn compute_part_causes(&self) -> Vec<CrashCause> {
-        let scope = self.crash_scope();
-        let parts = self.call.shared_parts().iter();
-        parts.map(|part| CrashCause::part(&scope, part.id)).collect()
+    pub fn compute_part_causes(&self) -> PartCauses {
+        let ids = self.call.shared_parts().iter().map(|part| part.id);
+        PartCauses::new(self.customer_name(), ids)
+    }
+
+    /// Returns the causes on which the current run is evidence.
+    pub(crate) fn causes_of_run(&self) -> Vec<CrashCause> {
+        let mut causes = self.part_causes.of_runs(self.scope.is_private()).to_vec();
+        let tried = self.trial.iter().flat_map(|trial| trial.parts());
+        for cause in tried {
+            if !causes.contains(cause) {
+                causes.push(*cause);
+            }
+        }
+        causes
     }
 
-    /// Returns the id of the shared prompt part that a cause is, if it is one of them.
-    pub fn part_id(&self, cause: CrashCause) -> Option<u64> {
-        let at = self.part_causes.iter().position(|part| *part == cause)?;
-        Some(self.call.shared_parts()[at].id)
+    /// Returns the customer's name, if there is a customer.
+    pub(crate) fn customer_name(&self) -> Option<&str> {
+        self.customer.as_ref().map(|customer| customer.name.as_str())
     }
 
     /// Returns the model, or an empty string if the request names none.
@@ -275,8 +282,7 @@
         if self.scope.is_private() {
             return;
         }
-        let customer = self.customer.as_ref().map(|customer| customer.name.as_str());
-        let scope = isolated.scope_of(customer);
+        let scope = isolated.scope_of(self.customer_name());
         if scope != self.scope {
             self.scope = scope;
             self.prompt_keys.clear();
@@ -292,16 +298,6 @@
         format!("{}/{model}/{weights}", self.scope)
     }
 
-    /// Returns the scope in which parts with the same id are the same cause of crashes.
-    ///
-    /// Its name is that of the previous release, with whose entries reports are shared.
-    fn crash_scope(&self) -> String {
-        match self.customer.as_ref().filter(|_| self.scope.is_private()) {
-            Some(customer) => format!("only-{}", customer.name),
-            None => SHARED_CRASH_SCOPE.to_string(),
-        }
-    }
-
     /// Returns the keys of the shared prompt parts, computed once per scope and version of
     /// the weights.
     pub fn keys(&mut self, weights: u64) -> Arc<PromptKeys> {
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -4,6 +4,7 @@
 
 use bilberry_core::Clock;
 use bilberry_core::Name;
+use bilberry_core::PartCauses;
 use bilberry_core::RequestKey;
 use bilberry_core::UnixMs;
 use bilberry_node::BodyLimits;
@@ -207,7 +208,7 @@
             headers: head.headers,
             body: Default::default(),
             key: RequestKey(0),
-            part_causes: Vec::new(),
+            part_causes: PartCauses::default(),
             arrived_at,
             deadline,
             progressed_at: arrived_at,
