Use parts of earlier scopes while all isolated customers are excluded from them

As the isolation of a customer ended, the set of isolated customers and with it the shared scope changed, and all others read their prompts again, though nobody had been isolated.

A scope that excludes at least those who are isolated now may still be used by whoever it does not exclude: its name says who made its parts. An entry keeps the scopes of up to four earlier configurations that do so, and takes the one in which most of a prompt is held, the current one first. What it remembers decides on reading only, never on who may use a part: each scope is checked against the configuration in force before it is sent.

--- a/crates/bilberry-core/src/cache_scope.rs
+++ b/crates/bilberry-core/src/cache_scope.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeSet;
 use std::fmt;
+use std::iter;
 use std::sync::Arc;
 
 use crate::Name;
@@ -20,6 +21,9 @@
 /// The number of hexadecimal digits in the name of a scope.
 const DIGITS: usize = 32;
 
+/// The maximum number of earlier sets whose scopes are still used.
+const MAX_EARLIER: usize = 4;
+
 /// A scope in which prompt parts are shared; its name is visible ASCII without slashes.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CacheScope(Name);
@@ -76,9 +80,14 @@
         self.names.is_empty()
     }
 
-    /// Reports whether a customer is isolated.
-    pub fn contains(&self, customer: &str) -> bool {
-        self.names.contains(customer)
+    /// Reports whether a request's customer, if it has one, is isolated.
+    fn isolates(&self, customer: Option<&str>) -> bool {
+        customer.is_some_and(|customer| self.names.contains(customer))
+    }
+
+    /// Reports whether all customers of another set are isolated.
+    fn includes(&self, other: &Self) -> bool {
+        self.names.is_superset(&other.names)
     }
 
     /// Returns the scope of a customer's requests, or of requests without a customer.
@@ -86,7 +95,7 @@
     /// Only customers outside the set make parts in the shared scope, whatever they were
     /// before. A scope that a customer has used is therefore never one of a set with it.
     pub fn scope_of(&self, customer: Option<&str>) -> CacheScope {
-        match customer.filter(|customer| self.contains(customer)) {
+        match customer.filter(|_| self.isolates(customer)) {
             Some(customer) => CacheScope::of_customer(customer),
             None => self.shared_scope.clone(),
         }
@@ -107,6 +116,79 @@
     }
 }
 
+/// The scopes that requests may use while a configuration is in force.
+///
+/// Besides the scope of its own set, it allows those of earlier sets that include all
+/// customers isolated now. As a customer is isolated no longer, the parts of all others can
+/// still be found, and none is read again.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CacheScopes {
+    isolated: IsolatedCustomers,
+    /// Earlier sets, the latest first.
+    earlier: Vec<IsolatedCustomers>,
+}
+
+impl CacheScopes {
+    /// Creates the scopes of a configuration that isolates these customers.
+    pub fn new(isolated: IsolatedCustomers) -> Self {
+        Self { isolated, earlier: Vec::new() }
+    }
+
+    /// Returns the customers that are isolated.
+    pub fn isolated(&self) -> &IsolatedCustomers {
+        &self.isolated
+    }
+
+    /// Allows the scopes of the configuration before, as far as they may still be used.
+    pub fn keep_earlier(&mut self, before: &Self) {
+        for set in iter::once(&before.isolated).chain(&before.earlier) {
+            let is_kept = set.includes(&self.isolated)
+                && *set != self.isolated
+                && !self.earlier.contains(set);
+            if is_kept && self.earlier.len() < MAX_EARLIER {
+                self.earlier.push(set.clone());
+            }
+        }
+    }
+
+    /// Returns the scopes that requests of a customer may use, the preferred one first.
+    ///
+    /// A customer uses no shared scope of a set that it was in, so what is known of the
+    /// makers of that scope's parts stays true.
+    pub fn of<'a>(
+        &'a self,
+        customer: Option<&'a str>,
+    ) -> impl Iterator<Item = CacheScope> + 'a {
+        let earlier = self.earlier.iter().filter(move |set| !set.isolates(customer));
+        let earlier = earlier.map(|set| set.shared_scope.clone());
+        iter::once(self.isolated.scope_of(customer)).chain(earlier)
+    }
+
+    /// Reports whether requests of a customer may use a scope.
+    pub fn allows(&self, customer: Option<&str>, scope: &CacheScope) -> bool {
+        self.of(customer).any(|allowed| allowed == *scope)
+    }
+
+    /// Chooses the scope with the most tokens of a prompt, by the number that is held in
+    /// each.
+    pub fn choose(
+        &self,
+        customer: Option<&str>,
+        held_tokens: impl Fn(&CacheScope) -> u64,
+    ) -> CacheScope {
+        let preferred = self.isolated.scope_of(customer);
+        if self.earlier.is_empty() {
+            return preferred;
+        }
+        let by_tokens = self.of(customer).map(|scope| (held_tokens(&scope), scope));
+        let most = by_tokens.reduce(|most, other| match other.0 > most.0 {
+            true => other,
+            false => most,
+        });
+        most.map_or(preferred, |(_, scope)| scope)
+    }
+}
+
 /// Hashes names, as not every name can be sent in a header, and one with a slash could make
 /// two salts equal.
 fn digest<'a>(names: impl IntoIterator<Item = &'a str>) -> String {
--- a/crates/bilberry-core/src/lib.rs
+++ b/crates/bilberry-core/src/lib.rs
@@ -66,6 +66,7 @@
 pub use breaker::Breaker;
 pub use breaker::BreakerState;
 pub use cache_scope::CacheScope;
+pub use cache_scope::CacheScopes;
 pub use cache_scope::IsolatedCustomers;
 pub use chain::BLOCK_BYTES;
 pub use chain::Chain;
--- a/crates/bilberry-gateway/src/dispatch.rs
+++ b/crates/bilberry-gateway/src/dispatch.rs
@@ -37,7 +37,7 @@
         last_event: Option<u64>,
         resume_from: Option<KvCacheCopy>,
     ) -> Request<RequestBody> {
-        self.update_scope(context);
+        self.confirm_scope(context);
         let now = self.clock.now();
         let is_engine = context.pool.engine.is_some();
         let mut dispatch = Dispatch {
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -35,7 +35,6 @@
 use crate::Policy;
 use crate::PromptStore;
 use crate::PromptStores;
-use crate::RequestContext;
 use crate::SidecarPresenceMap;
 use crate::SpeedEstimates;
 use crate::Upstream;
@@ -169,10 +168,12 @@
     }
 
     /// Activates a configuration, unless the active one is as new or newer.
-    pub fn apply_policy(&self, policy: Policy) {
-        let newer = |known: &Arc<Policy>| known.version >= policy.version;
-        if self.policy.load().as_ref().is_some_and(newer) {
-            return;
+    pub fn apply_policy(&self, mut policy: Policy) {
+        if let Some(known) = self.policy.load().as_ref() {
+            if known.version >= policy.version {
+                return;
+            }
+            policy.scopes.keep_earlier(&known.scopes);
         }
         log::info!(
             target: "config",
@@ -188,16 +189,6 @@
         self.upstreams.status_changed.notify_one();
     }
 
-    /// Sets the cache scope of a request by the configuration in force.
-    ///
-    /// Called before each send: the configuration may have changed since the request
-    /// arrived or was sent before.
-    pub(crate) fn update_scope(&self, context: &mut RequestContext) {
-        if let Some(policy) = self.policy.load().as_ref() {
-            context.update_scope(&policy.isolated);
-        }
-    }
-
     /// Updates the record of when the configuration was last confirmed.
     pub fn confirm(&self, change: impl FnOnce(&mut Freshness)) {
         change(&mut self.policy_freshness.lock().unwrap());
--- a/crates/bilberry-gateway/src/lib.rs
+++ b/crates/bilberry-gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod run_observation;
 mod run_query;
 mod run_stop;
+mod scope;
 mod serve;
 mod speed;
 mod store_contents;
--- a/crates/bilberry-gateway/src/placement.rs
+++ b/crates/bilberry-gateway/src/placement.rs
@@ -172,7 +172,6 @@
         context: &mut RequestContext,
         attempts: &AdmissionAttempts,
     ) -> Option<Placement> {
-        self.update_scope(context);
         let now = self.clock.now();
         let standing = self.standing(context);
         // The request waits until its quarantine takes effect or is lifted, and for the
@@ -181,6 +180,7 @@
             return None;
         }
         let upstreams = self.upstreams.of(&context.pool.name);
+        self.choose_scope(context, &upstreams, now);
         self.update_outage(&context.pool.name, &upstreams, now);
         let model = context.call.model.clone().unwrap_or_default();
         let needs_weights = context.call.model.is_some() && context.pool.engine.is_some();
--- a/crates/bilberry-gateway/src/policy.rs
+++ b/crates/bilberry-gateway/src/policy.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bilberry_core::IsolatedCustomers;
+use bilberry_core::CacheScopes;
 use bilberry_core::Name;
 use bilberry_core::pools_with_yielding_routes;
 use bilberry_node::ClientTimeouts;
@@ -23,8 +23,9 @@
     pub ordered_pools: HashMap<Name, u64>,
     /// The customer of each API key; `None` if requests need no key.
     pub customers: Option<HashMap<Name, Arc<Customer>>>,
-    /// The customers whose cached prompts are isolated, with or without keys.
-    pub isolated: IsolatedCustomers,
+    /// The scopes in which customers share cached prompts; customers are isolated with or
+    /// without keys.
+    pub scopes: CacheScopes,
     /// The limits on callers.
     pub limits: CallerLimits,
 }
--- a/crates/bilberry-gateway/src/request_context.rs
+++ b/crates/bilberry-gateway/src/request_context.rs
@@ -4,7 +4,6 @@
 
 use bilberry_core::CacheScope;
 use bilberry_core::CrashCause;
-use bilberry_core::IsolatedCustomers;
 use bilberry_core::PartCauses;
 use bilberry_core::PlacementRequest;
 use bilberry_core::PredictedTimes;
@@ -275,27 +274,23 @@
         self.call.model.as_deref().unwrap_or_default()
     }
 
-    /// Sets the scope by the customers that are isolated now.
+    /// Sets the scope in which the request shares cached prompt parts.
     ///
     /// A customer that was isolated when the request arrived keeps its own scope.
-    pub(crate) fn update_scope(&mut self, isolated: &IsolatedCustomers) {
-        if self.scope.is_private() {
-            return;
-        }
-        let scope = isolated.scope_of(self.customer_name());
-        if scope != self.scope {
+    pub(crate) fn set_scope(&mut self, scope: CacheScope) {
+        if scope != self.scope && !self.scope.is_private() {
             self.scope = scope;
             self.prompt_keys.clear();
         }
     }
 
-    /// Returns the cache salt of the request's prompt.
+    /// Returns the cache salt of the request's prompt in a scope.
     ///
     /// It includes the version of the weights, as a prompt store also keeps what older
     /// weights computed.
-    pub fn salt(&self, weights: u64) -> String {
+    fn salt_in(&self, scope: &CacheScope, weights: u64) -> String {
         let model = self.model();
-        format!("{}/{model}/{weights}", self.scope)
+        format!("{scope}/{model}/{weights}")
     }
 
     /// Returns the keys of the shared prompt parts, computed once per scope and version of
@@ -304,12 +299,16 @@
         if let Some((_, keys)) = self.prompt_keys.iter().find(|(at, _)| *at == weights) {
             return keys.clone();
         }
-        let keys = PromptKeys::new(self.salt(weights), self.call.shared_parts());
-        let keys = Arc::new(keys);
+        let keys = Arc::new(self.keys_in(&self.scope, weights));
         self.prompt_keys.push((weights, keys.clone()));
         keys
     }
 
+    /// Computes the keys of the shared prompt parts in a scope.
+    pub(crate) fn keys_in(&self, scope: &CacheScope, weights: u64) -> PromptKeys {
+        PromptKeys::new(self.salt_in(scope, weights), self.call.shared_parts())
+    }
+
     /// Returns the scheduling priority that is sent to upstreams, 0 being the first.
     pub fn priority(&self) -> u8 {
         let own = self.customer.as_ref().and_then(|customer| customer.priority);
--- a/crates/bilberry-gateway/src/serve.rs
+++ b/crates/bilberry-gateway/src/serve.rs
@@ -25,7 +25,6 @@
 use hyper::http::request::Parts;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::Customer;
 use crate::Dialect;
 use crate::Gateway;
 use crate::Policy;
@@ -187,9 +186,8 @@
             }
             _ => None,
         };
-        let name =
-            customer.as_ref().map(|customer: &Arc<Customer>| customer.name.as_str());
-        let scope = policy.isolated.scope_of(name);
+        let name = customer.as_ref().map(|customer| customer.name.as_str());
+        let scope = policy.scopes.isolated().scope_of(name);
         let target = route.target(xxh3_64(call.attempt.as_bytes()));
         let pool = target.and_then(|pool| policy.pools.get(pool)).cloned();
         let pool = pool.ok_or(Refusal::NoCapacity)?;
