Share no parts under a configuration that is not confirmed

A stream that an entry without contact to the store resumed after the validity of its keys had ended used parts of a customer that had been isolated meanwhile. New requests with keys are refused there from then on; those that had arrived before were still sent by the old configuration, for up to their time limit.

--- a/crates/bilberry-gateway/src/scope.rs
+++ b/crates/bilberry-gateway/src/scope.rs
@@ -30,14 +30,19 @@
     /// force allows.
     ///
     /// The configuration may have changed since the request arrived, was placed, or was sent
-    /// before. Its customer, or another one, may be isolated now.
+    /// before. Its customer, or another one, may be isolated now. If it has not been confirmed
+    /// for as long as API keys are valid, anyone may be isolated by a newer one.
     pub(crate) fn confirm_scope(&self, context: &mut RequestContext) {
         let Some(policy) = self.policy() else { return };
         let customer = context.customer_name();
-        if !policy.scopes.allows(customer, &context.scope) {
-            let scope = policy.scopes.isolated().scope_of(customer);
-            context.set_scope(scope);
-        }
+        let scope = match customer {
+            Some(customer) if !self.are_keys_confirmed() => {
+                CacheScope::of_customer(customer)
+            }
+            _ if policy.scopes.allows(customer, &context.scope) => return,
+            _ => policy.scopes.isolated().scope_of(customer),
+        };
+        context.set_scope(scope);
     }
 
     /// Returns the largest number of leading shared tokens that any engine or the prompt
