Log the cache scope of requests and configurations

The request line has cache_scope, the line of a configuration in force the number of isolated customers and the scope of the others; bilberry_isolated_customers and bilberry_isolations_total.

--- a/crates/bilberry-core/src/cache_scope.rs
+++ b/crates/bilberry-core/src/cache_scope.rs
@@ -139,6 +139,11 @@
         &self.isolated
     }
 
+    /// Reports whether a customer is isolated that was not under another configuration.
+    pub fn isolates_more_than(&self, other: &Self) -> bool {
+        !other.isolated.includes(&self.isolated)
+    }
+
     /// Allows the scopes of the configuration before, as far as they may still be used.
     pub fn keep_earlier(&mut self, before: &Self) {
         for set in iter::once(&before.isolated).chain(&before.earlier) {
--- a/crates/bilberry-gateway/src/gateway.rs
+++ b/crates/bilberry-gateway/src/gateway.rs
@@ -174,15 +174,22 @@
                 return;
             }
             policy.scopes.keep_earlier(&known.scopes);
+            if policy.scopes.isolates_more_than(&known.scopes) {
+                self.metrics.isolations.inc();
+            }
         }
+        let isolated = policy.scopes.isolated();
         log::info!(
             target: "config",
             version = policy.version,
             hosts = policy.routes.len(),
-            pools = policy.pools.len();
+            pools = policy.pools.len(),
+            isolated = isolated.len(),
+            cache_scope = isolated.scope_of(None).as_str();
             "in force"
         );
         self.metrics.config_version.set(policy.version as i64);
+        self.metrics.isolated_customers.set(isolated.len() as i64);
         self.upstreams.set_configured_pools(policy.pools.keys().cloned());
         self.stores.configure(&policy);
         self.policy.store(Some(Arc::new(policy)));
--- a/crates/bilberry-gateway/src/metrics.rs
+++ b/crates/bilberry-gateway/src/metrics.rs
@@ -88,6 +88,11 @@
     pub kept_upstreams: Gauge,
     /// The version of the configuration in force.
     pub config_version: Gauge,
+    /// The customers that it isolates.
+    pub isolated_customers: Gauge,
+    /// Configurations that isolated a customer, after which the prompts that the others
+    /// share are read anew.
+    pub isolations: Counter,
     /// Watch requests for changes of the platform's store, by recipient and outcome.
     pub watches: Family<OutcomeLabel, Counter>,
     /// Engines on hosts where no connection to a sidecar has ever succeeded.
@@ -137,6 +142,8 @@
             servers: Family::default(),
             kept_upstreams: Gauge::default(),
             config_version: Gauge::default(),
+            isolated_customers: Gauge::default(),
+            isolations: Counter::default(),
             watches: Family::default(),
             engines_without_sidecar: Gauge::default(),
             holds_orders: Gauge::default(),
@@ -204,6 +211,10 @@
         registry.register("kept_upstreams", help, kept);
         let version = self.config_version.clone();
         registry.register("config_version", "Configuration in force", version);
+        let isolated = self.isolated_customers.clone();
+        registry.register("isolated_customers", "Customers isolated by it", isolated);
+        let help = "Configurations that isolated a customer";
+        registry.register("isolations", help, self.isolations.clone());
         let help = "Questions for changes of the store";
         registry.register("watches", help, self.watches.clone());
         let without = self.engines_without_sidecar.clone();
--- a/crates/bilberry-gateway/src/request_log.rs
+++ b/crates/bilberry-gateway/src/request_log.rs
@@ -77,6 +77,7 @@
         waited_ms = context.waited_ms,
         waited_for_parts_ms = context.waited_for_parts_ms,
         admission_wait_ms = context.admission_wait_ms,
+        cache_scope = context.scope.as_str(),
         shared_tokens = context.call.shared_tokens(),
         fetch_from = fetch_from.as_str(),
         source_weights,
