Test heads of responses that end early

Another operator's system passed on a 200 with a short body when a server stopped in the middle of its head.

--- a/tests/src/broken_answer.rs
+++ b/tests/src/broken_answer.rs
@@ -111,6 +111,16 @@
     NoContentWithCoding,
     /// The version is unknown.
     UnknownVersion,
+    /// The connection ends within the status line.
+    HeadCutInStatus,
+    /// The connection ends within a field.
+    HeadCutInLine,
+    /// The connection ends within the value of the length.
+    HeadCutInLength,
+    /// The connection ends after a field, before the blank line.
+    HeadCutAfterLine,
+    /// The connection ends within the blank line.
+    HeadCutInBlankLine,
 }
 
 /// The parts of an answer that a server would send as it should.
@@ -122,7 +132,7 @@
 
 impl BrokenAnswer {
     /// All ways.
-    pub const ALL: [Self; 54] = [
+    pub const ALL: [Self; 59] = [
         Self::LengthWithLetter,
         Self::LengthNegative,
         Self::LengthWithSign,
@@ -177,6 +187,11 @@
         Self::NoContentWithLength,
         Self::NoContentWithCoding,
         Self::UnknownVersion,
+        Self::HeadCutInStatus,
+        Self::HeadCutInLine,
+        Self::HeadCutInLength,
+        Self::HeadCutAfterLine,
+        Self::HeadCutInBlankLine,
     ];
 
     /// Returns whether the head alone shows that the answer is broken.
@@ -311,6 +326,11 @@
                 let length = format!("Content-Length: {length}");
                 parts.starting("HTTP/4.2", &length, body.as_bytes())
             }
+            Self::HeadCutInStatus => b"HTTP/1.1 2".to_vec(),
+            Self::HeadCutInLine => parts.cut_head(lines.len() / 2 + 30),
+            Self::HeadCutInLength => parts.cut_head(5),
+            Self::HeadCutAfterLine => parts.cut_head(2),
+            Self::HeadCutInBlankLine => parts.cut_head(1),
         }
     }
 }
@@ -320,6 +340,13 @@
         self.with_line(&format!("Content-Length: {length}"))
     }
 
+    /// Returns the head of an answer without its last bytes; four of them end the head.
+    fn cut_head(&self, missing: usize) -> Vec<u8> {
+        let mut head = self.with_length(&self.body.len().to_string());
+        head.truncate(head.len() - self.body.len() - missing);
+        head
+    }
+
     fn with_line(&self, line: &str) -> Vec<u8> {
         self.starting("HTTP/1.1", line, self.body.as_bytes())
     }
