Take a watch that ends early for the time that it has waited

An entry that watched the list itself took each watch without changes for one that had waited to its end. If the store ended it early, the list counted as confirmed up to two seconds in the future: a stream of unknown origin went on at the only version known while servers of another joined, and weights counted as known. API keys were not concerned, as their confirmation takes the earlier time itself.

--- a/crates/bilberry-steward/src/watch_hub.rs
+++ b/crates/bilberry-steward/src/watch_hub.rs
@@ -252,12 +252,16 @@
                 break;
             }
             let is_change = update.changes.is_some();
+            let waited_ms = update.confirmed_at.ms_since(called_at);
             position = if is_change { update.to } else { position.max(update.to) };
             self.broadcast(&kind, Outcome::Update(update));
             if is_change {
                 // Lets changes in quick succession accumulate into one response.
                 let next_at = called_at.plus_ms(params.spacing_ms);
                 sleep(next_at.remaining(self.clock.now())).await;
+            } else if waited_ms < params.wait_ms {
+                // Repeated at once, watches that end early would use up the store's read quota.
+                sleep(RETRY_DELAY).await;
             }
         }
         let ended = self.watches.lock().unwrap().remove(&kind);
