Clamp the versions in fencing tokens

A named version that is within the bounds of stored numbers but beyond 27 bits made tokens that no JSON implementation has to represent exactly, and beyond 38 bits tokens that fell, with a panic in debug builds. One odd entry among the versions is enough. Greater versions are clamped, as eras and terms are.

tokens_of_huge_versions_stay_in_range failed before and passes.

--- a/crates/bilberry-core/src/fence.rs
+++ b/crates/bilberry-core/src/fence.rs
@@ -19,6 +19,9 @@
 /// The largest era that a token can represent; greater ones are clamped to it.
 const MAX_ERA: u64 = (1 << ERA_BITS) - 1;
 
+/// The largest version that a token can represent; greater ones are clamped to it.
+const MAX_VERSION: u64 = (1 << (53 - ERA_BITS - TERM_BITS)) - 1;
+
 /// The era of the store and the term of the claim under which a holder gives orders.
 #[derive(Debug, Copy, Clone, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Tenure {
@@ -42,9 +45,9 @@
 /// It is above the tokens of all other holders for this version, because a sidecar may
 /// start while another holder gives orders, and below all tokens for the next version.
 pub fn sidecar_fencing_token(version: u64) -> u64 {
-    first_token(version + 1) - 1
+    first_token(version) | ((1 << (ERA_BITS + TERM_BITS)) - 1)
 }
 
 fn first_token(version: u64) -> u64 {
-    version << (ERA_BITS + TERM_BITS)
+    version.min(MAX_VERSION) << (ERA_BITS + TERM_BITS)
 }
--- a/crates/bilberry-core/tests/order_lease.rs
+++ b/crates/bilberry-core/tests/order_lease.rs
@@ -493,3 +493,18 @@
     // Tokens are exact in any JSON implementation for versions below a hundred million.
     assert!(sidecar_fencing_token(100_000_000) < 1 << 53);
 }
+
+/// Guards against tokens of a version too large for them, which fall or panic.
+#[test]
+fn tokens_of_huge_versions_stay_in_range() {
+    let largest_exact = (1_u64 << 53) - 1;
+    let tenure = Tenure { era: 3, term: 4 };
+    for version in [(1 << 27) - 1, 1 << 27, 1 << 38, largest_exact, u64::MAX] {
+        let tokens = [tenure.fencing_token(version), sidecar_fencing_token(version)];
+        assert!(
+            tokens[0] < tokens[1] && tokens[1] <= largest_exact,
+            "{version}: {tokens:?}"
+        );
+        assert!(tokens[0] > sidecar_fencing_token(1_000), "{version}: {tokens:?}");
+    }
+}
