Give prompts without a known version of weights a salt of their own

A request to an engine that names no model was sent without a salt, and what has no salt is shared by all: the parts of an isolated customer's prompt as well. Without a version no salt can be shared, so such a request gets one that no other has.

a_prompt_without_a_model_shares_no_part failed before and passes.

--- a/crates/bilberry-gateway/src/dispatch.rs
+++ b/crates/bilberry-gateway/src/dispatch.rs
@@ -50,8 +50,13 @@
             resume_from,
             ..Dispatch::default()
         };
-        if let Some(weights) = context.weights.filter(|_| is_engine) {
-            self.set_cache_fields(context, reservation, weights, &mut dispatch);
+        match context.weights {
+            Some(weights) if is_engine => {
+                self.set_cache_fields(context, reservation, weights, &mut dispatch);
+            }
+            // Without a salt, the parts of the prompt would be shared with everybody.
+            None if is_engine => dispatch.salt = Some(unshared_salt()),
+            _ => {}
         }
         let headers = self.dialect.request_headers(&context.headers, &dispatch);
         let mut request = Request::new(context.body.clone());
@@ -245,6 +250,11 @@
     }
 }
 
+/// Returns a salt that no other request has.
+fn unshared_salt() -> String {
+    format!("unshared/{:032x}", rand::random::<u128>())
+}
+
 /// The part of a shared prompt that an upstream need not compute.
 struct PromptSupply {
     /// Where it may fetch missing parts.
