Take an answer without a length for complete only if the same start of its server lives on

Cause: the entry asked whether the server is up, not whether it has been up since. Only a start time was compared, where servers tell one, and for engines alone.

The check now names the server and asks which start of it answers: its id by a health check, and its start time where it tells one, by its report or in the health check. Without proof the answer is cut off or sent again.

--- a/crates/bilberry-gateway/src/call.rs
+++ b/crates/bilberry-gateway/src/call.rs
@@ -139,6 +139,26 @@
     Unknown,
 }
 
+/// A call that asks which start of a server answers at an address.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct IdentityCall {
+    /// The upstream that is expected there.
+    pub upstream: Name,
+    /// The address.
+    pub address: SocketAddr,
+    /// The path of the service's health checks.
+    pub health_path: Name,
+}
+
+/// The start of a server that answers at an address.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerIdentity {
+    /// The id of the server.
+    pub upstream: Name,
+    /// When it started, if it tells.
+    pub incarnation: Option<Incarnation>,
+}
+
 /// The classification of an upstream's response.
 #[derive(Debug, Copy, Clone, PartialEq, Eq)]
 pub enum ResponseClass {
@@ -215,6 +235,12 @@
     /// Decodes the response to such a request; `None` if it does not contain the start.
     fn start_reply(&self, status: StatusCode, body: &[u8]) -> Option<Incarnation>;
 
+    /// Builds the request that asks which start of a server answers at an address.
+    fn identity_call(&self, call: &IdentityCall) -> Request<Full<Bytes>>;
+
+    /// Decodes the response to such a request; `None` if it names no server.
+    fn identity_reply(&self, headers: &HeaderMap, body: &[u8]) -> Option<ServerIdentity>;
+
     /// Decodes the status that an upstream reports with a response.
     fn server_status(&self, status: StatusCode, headers: &HeaderMap) -> ServerStatus;
 }
--- a/crates/bilberry-gateway/src/crashes.rs
+++ b/crates/bilberry-gateway/src/crashes.rs
@@ -15,11 +15,9 @@
 use bilberry_core::Name;
 use bilberry_core::RequestStanding;
 use bilberry_core::RequestStatus;
-use bilberry_core::SidecarStatus;
 use bilberry_core::UnixMs;
 use bilberry_wire::Body;
 use bilberry_wire::CrashNotice;
-use hyper::HeaderMap;
 use tokio::runtime::Handle;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -62,35 +60,10 @@
 /// The maximum number of prompt parts in a log line.
 const MAX_LOGGED_PARTS: usize = 16;
 
-/// The same delay after the end of a response that has neither a length nor chunks.
-///
-/// Shorter, as its caller waits for the end.
-const END_PROBE_AFTER: Duration = Duration::from_millis(10);
-
 /// How many sidecars relay a report, so that no report is lost when a sidecar fails.
 const RELAYS: usize = 3;
 
 impl<D: Dialect, C: Clock> Gateway<D, C> {
-    /// Reports whether the upstream lives on after it has ended a response by closing the
-    /// connection, which a crash does as well.
-    ///
-    /// The probe's connection is kept for the next request.
-    pub(crate) async fn has_outlived_response(&self, upstream: &Upstream) -> bool {
-        sleep(END_PROBE_AFTER).await;
-        let is_up = match connect(upstream.address).await {
-            Ok(mut connection) => {
-                // Something between may accept connections for an engine that is down.
-                let is_up = !self.is_engine(upstream)
-                    || self.is_answered(&mut connection, upstream).await;
-                self.connections.put_idle(connection, &HeaderMap::new());
-                is_up
-            }
-            Err(ConnectError::Refused) => false,
-            Err(_) => upstream.sidecar_status(self.clock.now()) == SidecarStatus::Up,
-        };
-        is_up && !upstream.has_ended()
-    }
-
     /// Starts to watch for a crash of the upstream after a run's connection ended early.
     ///
     /// Does nothing for an upstream that is leaving, whose shutdown is planned.
--- a/crates/bilberry-gateway/src/plain_response.rs
+++ b/crates/bilberry-gateway/src/plain_response.rs
@@ -68,7 +68,7 @@
         }
         let upstream = response.reservation.upstream.clone();
         if !response.http.body().framing().is_delimited()
-            && !self.has_outlived_response(&upstream).await
+            && !self.has_outlived_response(context, &upstream).await
         {
             self.record_interrupted_run(context, &upstream);
             context.detail = "the response was ended by a crash".to_string();
@@ -151,7 +151,9 @@
                 None if response.connection.has_surplus_bytes().await => {
                     return BodyEnd::Broken(SURPLUS_BYTES);
                 }
-                None if is_delimited || self.has_outlived_response(&upstream).await => {
+                None if is_delimited
+                    || self.has_outlived_response(context, &upstream).await =>
+                {
                     return BodyEnd::Complete;
                 }
                 None | Some(Err(_)) => {
--- a/crates/bilberry-gateway/src/policy.rs
+++ b/crates/bilberry-gateway/src/policy.rs
@@ -91,6 +91,8 @@
     pub engine: Option<EngineConfig>,
     /// The settings of the prompt store, if the service is one.
     pub prompt_store: Option<PromptStoreConfig>,
+    /// The path at which its servers answer health checks, if configured.
+    pub health_path: Option<Name>,
 }
 
 /// The settings of a store of cached prompts.
--- a/crates/bilberry-gateway/src/relay.rs
+++ b/crates/bilberry-gateway/src/relay.rs
@@ -349,7 +349,7 @@
                             RelayEnd::may_still_run("ended before the first event")
                         }
                         RelayEnd::Finished(BodyEnd::Complete) if !is_delimited => {
-                            self.confirm_unframed_end(&upstream).await
+                            self.confirm_unframed_end(context, &upstream).await
                         }
                         relay_end => relay_end,
                     };
@@ -426,8 +426,12 @@
 
     /// Returns the end of a stream that its upstream ended between two events by closing
     /// the connection, which a crash does as well.
-    async fn confirm_unframed_end(&self, upstream: &Upstream) -> RelayEnd {
-        match self.has_outlived_response(upstream).await {
+    async fn confirm_unframed_end(
+        &self,
+        context: &RequestContext,
+        upstream: &Upstream,
+    ) -> RelayEnd {
+        match self.has_outlived_response(context, upstream).await {
             true => RelayEnd::Finished(BodyEnd::Complete),
             false => RelayEnd::may_still_run("ended by a crash"),
         }
--- a/crates/bilberry-gateway/src/stream_origin/incarnation_check.rs
+++ b/crates/bilberry-gateway/src/stream_origin/incarnation_check.rs
@@ -40,19 +40,6 @@
         asked.ok().flatten().flatten() == Some(known)
     }
 
-    /// Reports whether a process answers at the other end of a connection, and is the
-    /// incarnation of the upstream that this entry knows, if it knows one.
-    pub(crate) async fn is_answered(
-        &self,
-        connection: &mut Connection,
-        upstream: &Upstream,
-    ) -> bool {
-        let asked = timeout(REPLY_TIMEOUT, self.ask_incarnation(connection)).await;
-        let known = upstream.incarnation();
-        let answer = asked.ok().flatten();
-        answer.is_some_and(|found| known.is_none() || found == known)
-    }
-
     /// Reports whether a process lives at the other end of a connection: it answers, or
     /// closes the connection.
     pub(crate) async fn shows_life(&self, connection: &mut Connection) -> bool {
@@ -61,7 +48,7 @@
 
     /// Returns the start that the process at the other end of a connection tells, if it
     /// tells one; `None` if it does not answer.
-    async fn ask_incarnation(
+    pub(crate) async fn ask_incarnation(
         &self,
         connection: &mut Connection,
     ) -> Option<Option<Incarnation>> {
--- a/crates/bilberry-gateway/tests/admission.rs
+++ b/crates/bilberry-gateway/tests/admission.rs
@@ -24,6 +24,7 @@
 use bilberry_gateway::EngineConfig;
 use bilberry_gateway::Gateway;
 use bilberry_gateway::GatewaySettings;
+use bilberry_gateway::IdentityCall;
 use bilberry_gateway::InvalidHeader;
 use bilberry_gateway::Listing;
 use bilberry_gateway::Policy;
@@ -31,6 +32,7 @@
 use bilberry_gateway::RequestMetadata;
 use bilberry_gateway::ResponseClass;
 use bilberry_gateway::Route;
+use bilberry_gateway::ServerIdentity;
 use bilberry_gateway::ServerStatus;
 use bilberry_gateway::StopCall;
 use bilberry_gateway::StopReply;
@@ -127,6 +129,14 @@
         None
     }
 
+    fn identity_call(&self, _: &IdentityCall) -> Request<Full<Bytes>> {
+        Request::default()
+    }
+
+    fn identity_reply(&self, _: &HeaderMap, _: &[u8]) -> Option<ServerIdentity> {
+        None
+    }
+
     fn server_status(&self, _: StatusCode, _: &HeaderMap) -> ServerStatus {
         ServerStatus::default()
     }
@@ -367,7 +377,7 @@
         stops_runs: false,
         token_bytes: 0,
     };
-    let pool = Pool { name: "llm".into(), engine: Some(engine), prompt_store: None };
+    let pool = Pool { name: "llm".into(), engine: Some(engine), ..Pool::default() };
     let pools: HashMap<Name, Arc<Pool>> = [("llm".into(), Arc::new(pool))].into();
     let routes = vec![route("short", short_ms), route("long", long_ms)];
     let routes = [("api".into(), routes)].into();
