Count a response without a length as lost in the own protocol

A response that its connection delimits was read whole whatever ended the connection, so the part that a crash of a plain service left was recorded and answered as its answer (MIXED), and an engine's answer outside of a stream as well. The own protocol has nothing that tells starts of a server apart, so such a response counts as lost, and the log names the remedy.

an_answer_without_a_length_of_a_plain_service_is_lost failed before (200 with the part) and passes; all tests of bilberry-tests and bilberry-sidecar pass.

--- a/crates/bilberry-sidecar/src/exchange.rs
+++ b/crates/bilberry-sidecar/src/exchange.rs
@@ -50,11 +50,19 @@
     }
 }
 
+/// The reason for a response that ends with its connection, as one does that is cut off by a
+/// crash.
+const UNDELIMITED: &str =
+    "the response has neither a length nor chunks; have the server send one of them";
+
 /// Reads the body of a response of at most `max_bytes`.
 pub(crate) async fn read_body(
     response: Response<FramedBody>,
     max_bytes: usize,
 ) -> Result<Bytes, ExchangeError> {
+    if !response.body().framing().is_delimited() {
+        return Err(ExchangeError::Lost(UNDELIMITED.to_string()));
+    }
     match Limited::new(response.into_body(), max_bytes).collect().await {
         Ok(body) => Ok(body.to_bytes()),
         Err(error) => Err(ExchangeError::Lost(error.to_string())),
--- a/tests/tests/broken_answers.rs
+++ b/tests/tests/broken_answers.rs
@@ -55,19 +55,29 @@
     }
 }
 
+fn proof() -> PlainRequest {
+    PlainRequest {
+        method: "POST".to_string(),
+        path: "/send".to_string(),
+        content_type: String::new(),
+        body: Bytes::from_static(b"proof"),
+        idempotency_key: String::new(),
+    }
+}
+
+/// Guards against a part of an answer that counts as whole, as a crash ended its connection.
+#[tokio::test]
+async fn an_answer_without_a_length_of_a_plain_service_is_lost() {
+    let answer = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\na part".to_vec();
+    let server = RawServer::start(answer, false).await;
+    let result = HttpPlainService::new(server.address).call(proof()).await;
+    assert!(matches!(result, Err(PlainError::Lost(_))), "{result:?}");
+}
+
 /// Guards against answers of a service that callers get though they are not its own.
 #[tokio::test]
 async fn a_broken_answer_of_a_plain_service_is_lost() {
-    let call = async |address| {
-        let request = PlainRequest {
-            method: "POST".to_string(),
-            path: "/send".to_string(),
-            content_type: String::new(),
-            body: Bytes::from_static(b"proof"),
-            idempotency_key: String::new(),
-        };
-        HttpPlainService::new(address).call(request).await
-    };
+    let call = async |address| HttpPlainService::new(address).call(proof()).await;
     let is_lost = |_, result: &Result<_, _>| matches!(result, Err(PlainError::Lost(_)));
     for status in [200, 500] {
         let wrong = unrecognized(status, "{\"sent\":true}", call, is_lost).await;
