Reset what the soak cuts beside crashing parts, instead of closing it

Cuts beside crashing parts go through a relay now that stalls and resets; the other modes of the soak keep the proxies that close.

--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -11,6 +11,7 @@
 mod process;
 mod proxy;
 mod raw_server;
+mod reset_relay;
 mod resources;
 
 pub use broken_answer::BrokenAnswer;
--- a/tests/src/proxy.rs
+++ b/tests/src/proxy.rs
@@ -21,6 +21,7 @@
 
 use crate::eventually;
 use crate::process::free_address;
+use crate::reset_relay::ResetRelay;
 
 /// Capacity of the queue of toxic events.
 const EVENT_QUEUE_CAPACITY: usize = 16;
@@ -32,6 +33,17 @@
     pub address: SocketAddr,
     upstream: SocketAddr,
     handle: Option<ProxyHandle>,
+    link_ends: LinkEnds,
+}
+
+/// How connections end at a disconnection.
+#[derive(Debug)]
+enum LinkEnds {
+    /// They are closed, as by the processes at their ends.
+    Closed,
+    /// They are reset, and what was dropped before stays lost. A relay does both at the
+    /// proxy's address, and `noxious` listens at `inner`.
+    Reset { inner: SocketAddr, relay: Option<ResetRelay> },
 }
 
 #[derive(Debug)]
@@ -51,11 +63,27 @@
     pub async fn start_at(address: SocketAddr, upstream: SocketAddr) -> Self {
         let handle = run(address, upstream, Toxics::empty()).await;
         assert!(handle.is_some(), "{address} was taken meanwhile");
-        Self { address, upstream, handle }
+        Self { address, upstream, handle, link_ends: LinkEnds::Closed }
+    }
+
+    /// Starts a proxy at `address` that resets connections, as a lost network path does.
+    pub async fn start_resetting_at(address: SocketAddr, upstream: SocketAddr) -> Self {
+        let inner = free_address();
+        let handle = run(inner, upstream, Toxics::empty()).await;
+        assert!(handle.is_some(), "{inner} was taken meanwhile");
+        let relay = ResetRelay::start(address, inner).await;
+        let relay = Some(relay.expect("the address can't be listened on"));
+        let link_ends = LinkEnds::Reset { inner, relay };
+        Self { address, upstream, handle, link_ends }
     }
 
-    /// Closes all connections and refuses new ones.
+    /// Ends all connections and refuses new ones.
     pub async fn disconnect(&mut self) {
+        if let LinkEnds::Reset { relay, .. } = &mut self.link_ends
+            && let Some(relay) = relay.take()
+        {
+            relay.reset().await;
+        }
         if let Some(handle) = self.handle.take() {
             handle.stopper.stop();
             let _ = handle.task.await;
@@ -73,6 +101,9 @@
     /// Drops all data in both directions while connections stay open, like a
     /// network partition without resets.
     pub async fn drop_traffic(&self) {
+        if let LinkEnds::Reset { relay: Some(relay), .. } = &self.link_ends {
+            return relay.set_stalled(true);
+        }
         let kind = ToxicKind::Timeout { timeout: 0 };
         self.add_toxic("swallow_up", kind, StreamDirection::Upstream).await;
         self.add_toxic("swallow_down", kind, StreamDirection::Downstream).await;
@@ -114,15 +145,31 @@
     /// the proxy has stopped, and a single attempt fails the test before any link
     /// is cut.
     async fn restart(&mut self, toxics: Toxics) {
-        let (address, upstream) = (self.address, self.upstream);
+        let upstream = self.upstream;
+        let address = match &self.link_ends {
+            LinkEnds::Closed => self.address,
+            LinkEnds::Reset { inner, .. } => *inner,
+        };
         let handle = eventually("the proxy's port is free again", async || {
             run(address, upstream, toxics.clone()).await
         });
         self.handle = Some(handle.await);
+        if let LinkEnds::Reset { inner, relay } = &mut self.link_ends {
+            let (outer, inner) = (self.address, *inner);
+            let started = eventually("the relay's port is free again", async || {
+                ResetRelay::start(outer, inner).await.ok()
+            });
+            *relay = Some(started.await);
+        }
     }
 
     /// Removes all faults without closing connections.
+    ///
+    /// A proxy that resets connections resets those whose traffic was dropped.
     pub async fn clear(&self) {
+        if let LinkEnds::Reset { relay: Some(relay), .. } = &self.link_ends {
+            relay.set_stalled(false);
+        }
         self.send_event(ToxicEventKind::RemoveAllToxics).await;
     }
 
