Write the first claim to order engines at once

Cause: an entry ordered such a server after two waits in series. A lease time of refused connections shows that there is no sidecar; the claim then still waited two lease times and the time of an order for an earlier holder, also where there had never been a claim.

Change: in the first era of the store, an entry that has seen no claim and reads that there is none writes the first one at once. The write is conditional, so one entry of several succeeds. A claim that is gone, or a later era of the store, is waited for as before.

--- a/crates/bilberry-core/src/order_lease.rs
+++ b/crates/bilberry-core/src/order_lease.rs
@@ -119,7 +119,7 @@
     /// The claim appears not to be renewed and must be read from the store itself.
     Unconfirmed,
     /// The claim was read from the store at `since` and is taken over if it stays
-    /// unchanged.
+    /// unchanged; at once if there has never been one.
     Contending { seen: SeenClaim, since: UnixMs },
     /// This process holds the claim.
     Holding(HeldClaim),
@@ -157,7 +157,10 @@
             State::Following { check_at, .. } => LeaseTask::Wait(*check_at),
             State::Unconfirmed => LeaseTask::Read,
             State::Contending { seen, since } => {
-                let takeover_at = since.plus_ms(self.terms.takeover_ms());
+                let takeover_at = match self.may_have_had_holder(seen) {
+                    true => since.plus_ms(self.terms.takeover_ms()),
+                    false => *since,
+                };
                 match takeover_at.has_passed_at(now) {
                     true => LeaseTask::Write(self.takeover(seen)),
                     false => LeaseTask::Wait(takeover_at),
@@ -276,6 +279,15 @@
         }
     }
 
+    /// Reports whether another process may have held a claim that was read.
+    ///
+    /// In the first era the store has lost no claim. Any other may have been held, also if
+    /// it is gone.
+    fn may_have_had_holder(&self, seen: &SeenClaim) -> bool {
+        let is_first = seen.revision == 0 && self.highest == Tenure::default();
+        !is_first
+    }
+
     fn takeover(&self, seen: &SeenClaim) -> ClaimWrite {
         let claim = OrderClaim {
             holder: self.own_host.clone(),
--- a/crates/bilberry-core/tests/order_lease.rs
+++ b/crates/bilberry-core/tests/order_lease.rs
@@ -419,6 +419,35 @@
     assert!(gaps.max().expect("several orders") < 1_000, "the lease never expires");
 }
 
+/// Guards against engines whose first orders wait for a holder that there never was.
+#[test]
+fn the_first_holder_gives_orders_at_once() {
+    let mut simulation = Simulation::new(1, 4, NO_FAULTS);
+    simulation.run();
+    let first = simulation.orders.first().expect("a process gives orders");
+    // The first glance, the read, and some calls.
+    assert!(first.arrives_ms < 1_000 + 1_000, "{first:?}");
+}
+
+/// Guards against two holders within a lease time if the claim or the store was replaced.
+#[test]
+fn a_claim_that_may_have_been_lost_is_waited_for() {
+    let now = UnixMs(50_000);
+    let missing = |era| SeenClaim { era, revision: 0, claim: None };
+    let claim = OrderClaim { holder: "entry-b".into(), term: 2, renewal: 1 };
+    let known = SeenClaim { era: 0, revision: 8, claim: Some(claim) };
+    for (seen_before, era) in [(Some(known), 0), (None, 1)] {
+        let mut lease = OrderLease::new("entry-a".into(), TERMS, now);
+        if let Some(seen) = seen_before {
+            lease.handle_check(&seen, now);
+        }
+        lease.handle_check(&missing(era), now);
+        lease.handle_read(missing(era), now);
+        let wait = LeaseTask::Wait(now.plus_ms(TERMS.takeover_ms()));
+        assert_eq!(lease.task(now), wait);
+    }
+}
+
 #[test]
 fn a_holder_that_fails_permanently_is_replaced() {
     // The host of the holder fails permanently. Without a takeover, engines without a
