Address each order to one start of its engine

An engine could go back to older weights: an order that got no response was executed after the engine had restarted (applied late, then a crash). What keeps a late order from replacing a newer one is the count of orders that it expects, and a restart sets that count back to zero.

Entries now tell a sidecar the identity under which they list its engine. Orders are addressed to it, so another start refuses them. A refusal tells the identity of the start that answers, to which the next order goes at once. A refused identity is not used again, also if an entry that is out of step still names it.

an_order_that_is_executed_after_a_restart_sets_no_weights_back failed before: the engine accepted the order (202 instead of 421) and went back to version 2. It passes with the change, with and without start times, as does the test of an engine that entries still list under its earlier identity.

--- a/crates/bilberry-gateway/src/pool_summary.rs
+++ b/crates/bilberry-gateway/src/pool_summary.rs
@@ -58,6 +58,7 @@
             prompt_stores: followed.map(|(address, _)| address.clone()).collect(),
             entry: host.to_string(),
             observes_runs: self.observes_runs,
+            upstream: upstream.id.to_string(),
         }
     }
 }
--- a/crates/bilberry-platform/src/http.rs
+++ b/crates/bilberry-platform/src/http.rs
@@ -81,19 +81,7 @@
         body: Bytes,
         wait_ms: u64,
     ) -> Result<(StatusCode, Bytes), PlatformError> {
-        self.call_with(method, path, &[], body, wait_ms).await
-    }
-
-    /// Makes a call with additional headers.
-    pub async fn call_with(
-        &self,
-        method: Method,
-        path: &str,
-        headers: &[(&'static str, String)],
-        body: Bytes,
-        wait_ms: u64,
-    ) -> Result<(StatusCode, Bytes), PlatformError> {
-        let response = self.exchange(method, path, headers, body, wait_ms).await?;
+        let response = self.exchange(method, path, &[], body, wait_ms).await?;
         Ok((response.status(), response.into_body()))
     }
 
--- a/crates/bilberry-steward/src/engine.rs
+++ b/crates/bilberry-steward/src/engine.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 
 use bilberry_core::Incarnation;
+use bilberry_core::Name;
 use bilberry_core::ObservedRun;
 use bilberry_wire::ModelVersion;
 use thiserror::Error;
@@ -71,10 +72,15 @@
     pub expected_orders: u64,
     /// The incarnation of the engine that the order is meant for, if known.
     pub incarnation: Option<Incarnation>,
+    /// The identity that the order is addressed to, if known.
+    ///
+    /// A restart resets the count of orders. An engine that restarts under another identity
+    /// refuses an order that arrives late.
+    pub addressee: Option<Name>,
 }
 
 /// The engine's reply to an order.
-#[derive(Debug, Copy, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OrderReply {
     /// The engine executes the order.
     Accepted,
@@ -86,6 +92,9 @@
     Rejected(u16),
     /// The engine has restarted, so its previously known state is obsolete.
     OtherIncarnation,
+    /// The engine has another identity than the order is addressed to: this one, if it
+    /// tells it.
+    Misdirected(Option<Name>),
 }
 
 /// The engine did not respond.
--- a/crates/bilberry-steward/src/engine_controller.rs
+++ b/crates/bilberry-steward/src/engine_controller.rs
@@ -50,7 +50,8 @@
 ///
 /// An order without a reply may have been accepted, or may be executed seconds later. A
 /// retry does not have to wait for that: both orders carry the same expected order count,
-/// so the engine executes only one of them.
+/// so the engine executes only one of them. If it restarts, which resets the count, it
+/// refuses an order that is addressed to its earlier identity.
 const ORDER_RETRY_DELAY_MS: u64 = 100;
 
 /// Polls one engine, publishes its state and orders it to load weights.
@@ -475,6 +476,7 @@
             fencing_number: sidecar_fencing_token(load.weights.version),
             expected_orders: report.orders,
             incarnation: state.incarnation,
+            addressee: self.newest.engine_identity(),
         };
         if load.mode == SwapMode::Continue {
             self.sharing.record_retaining_order(&load.weights);
@@ -487,15 +489,23 @@
             Ok(Ok(OrderReply::OtherIncarnation)) => {
                 ("other_incarnation", ORDER_RETRY_DELAY_MS)
             }
+            // The next order is addressed to another identity, or to none.
+            Ok(Ok(OrderReply::Misdirected(_))) => ("misdirected", 0),
             Ok(Ok(OrderReply::Rejected(_))) => ("rejected", ORDER_RETRY_DELAY_MS),
             Ok(Err(_)) | Err(_) => ("no_answer", ORDER_RETRY_DELAY_MS),
         };
         self.metrics.count_order(outcome);
+        if let (Ok(Ok(OrderReply::Misdirected(actual))), Some(refused)) =
+            (&reply, &order.addressee)
+        {
+            self.newest.record_refused_identity(refused, actual.as_deref());
+        }
         let unreleased = self.sharing.unreleased();
         log::info!(
             target: "weights",
             model = load.weights.model.as_str(),
             version = load.weights.version,
+            addressee = order.addressee.as_deref().unwrap_or_default(),
             expected = report.orders,
             running = report.running,
             queued = report.queued,
--- a/crates/bilberry-steward/src/latest_weights.rs
+++ b/crates/bilberry-steward/src/latest_weights.rs
@@ -9,7 +9,10 @@
 use bilberry_core::UnixMs;
 use bilberry_wire::EntryNotice;
 
-/// The newest weights of a service's models, and the engine's position in rollouts.
+use crate::engine_identities::EngineIdentities;
+
+/// The newest weights of a service's models, the engine's position in rollouts, and the
+/// identity that orders to it are addressed to.
 #[derive(Debug, Default)]
 pub struct LatestWeights {
     known: Mutex<Known>,
@@ -20,6 +23,7 @@
     weights: HashMap<Name, AnnouncedWeights>,
     place: Option<RolloutPlace>,
     is_listed: bool,
+    identities: EngineIdentities,
 }
 
 impl LatestWeights {
@@ -29,7 +33,8 @@
         known.weights.entry(model.into()).or_default().record(version, now);
     }
 
-    /// Records the newest weights and the rollout position that an entry reports.
+    /// Records what an entry reports: the newest weights, the rollout position, and the
+    /// identity under which it lists the engine.
     ///
     /// A sidecar that is partitioned from the platform receives new weights from the
     /// entries, which see them at other upstreams.
@@ -40,7 +45,23 @@
         let servers = notice.servers as usize;
         let position = notice.position as usize;
         let down = notice.down as usize;
-        self.known.lock().unwrap().place = Some(RolloutPlace { position, servers, down });
+        let mut known = self.known.lock().unwrap();
+        known.place = Some(RolloutPlace { position, servers, down });
+        known.identities.record(&notice.upstream);
+    }
+
+    /// Records that the engine refused an order as addressed to another identity, and the
+    /// identity with which it answered, if any.
+    pub fn record_refused_identity(&self, refused: &Name, actual: Option<&str>) {
+        let mut known = self.known.lock().unwrap();
+        known.identities.refuse(refused);
+        known.identities.record(actual.unwrap_or_default());
+    }
+
+    /// Returns the engine's identity, if an entry or the engine told one that the engine
+    /// has not refused since.
+    pub fn engine_identity(&self) -> Option<Name> {
+        self.known.lock().unwrap().identities.current()
     }
 
     /// Records that all announced versions have been read from the platform.
--- a/crates/bilberry-steward/src/lib.rs
+++ b/crates/bilberry-steward/src/lib.rs
@@ -9,6 +9,7 @@
 mod crash_relay;
 mod engine;
 mod engine_controller;
+mod engine_identities;
 mod feed;
 mod latest_weights;
 mod limit_relay;
--- a/crates/bilberry-wire/src/feed.rs
+++ b/crates/bilberry-wire/src/feed.rs
@@ -173,6 +173,10 @@
     /// Whether the entry uses what the sidecar observes of the engine's runs.
     #[prost(bool, tag = "7")]
     pub observes_runs: bool,
+    /// The identity under which the entry lists the upstream; entries of earlier releases
+    /// leave it empty.
+    #[prost(string, tag = "8")]
+    pub upstream: String,
 }
 
 /// Shared prompt parts that an entry's requests prefill at an upstream.
