Sidecar: name the salt of the state whose weights are checked

Callers could get an answer that was computed from blocks cached with other weights, in the own protocol, while weights change.

Cause: run_completion read the state of the engine, and engine_call read it again for the cache salt. Another request or the poll could store a state between the two; the check of the head then passed for weights that the salt didn't belong to.

The state is read once a start and passed on.

--- a/crates/bilberry-sidecar/src/completion.rs
+++ b/crates/bilberry-sidecar/src/completion.rs
@@ -75,9 +75,11 @@
         permit: Permit,
     ) -> Body {
         for _ in 0..MAX_STARTS {
-            let weights = self.view.info().weights.clone();
+            // Each request may store a newer state, so the state is read once.
+            let info = self.view.info();
+            let weights = &info.weights;
             // An answer must be continued with the weights that started it.
-            if !dispatch.weights.is_empty() && dispatch.weights != weights {
+            if !dispatch.weights.is_empty() && dispatch.weights != *weights {
                 let message = "the engine runs other weights; another upstream is tried";
                 return not_run("wrong_weights", message, None);
             }
@@ -85,8 +87,8 @@
                 let message = "the engine fails; another upstream is tried";
                 return not_run("upstream_down", message, None);
             }
-            let call = self.engine_call(dispatch);
-            self.node.events.record(&dispatch.request, "engine_started", &weights);
+            let call = self.engine_call(dispatch, &info);
+            self.node.events.record(&dispatch.request, "engine_started", weights);
             let silence = permit.silence_timeout();
             let start = self.engine.run(call);
             let stream = match self.await_engine(dispatch, reply, silence, start).await {
@@ -96,8 +98,8 @@
             // The salt was computed for other weights than the engine runs now, so the
             // request could use cached blocks of the wrong weights. As nothing was
             // forwarded yet, it can be restarted.
-            if stream.info().weights != weights {
-                self.view.mark(&weights);
+            if stream.info().weights != *weights {
+                self.view.mark(weights);
                 let max_running = self.view.info().max_running;
                 self.view.store(EngineInfo { max_running, ..stream.info().clone() });
                 continue;
@@ -107,12 +109,13 @@
         not_run("weights_changing", "the engine's weights keep changing", None)
     }
 
-    fn engine_call(&self, dispatch: &Dispatch) -> EngineCall {
+    /// Returns the call for an engine in a state, whose weights its salt names.
+    fn engine_call(&self, dispatch: &Dispatch, info: &EngineInfo) -> EngineCall {
         let Dispatch { cache_scope, model, adapter, .. } = dispatch;
         EngineCall {
             path: dispatch.path.clone(),
             body: dispatch.body.clone(),
-            cache_salt: self.view.scope(cache_scope, model, adapter).salt(),
+            cache_salt: self.view.scope(info, cache_scope, model, adapter).salt(),
             priority: dispatch.priority,
             resume_text: dispatch.resume_text.clone(),
         }
--- a/crates/bilberry-sidecar/src/engine_view.rs
+++ b/crates/bilberry-sidecar/src/engine_view.rs
@@ -60,9 +60,8 @@
         marks.by_version.insert(version.to_string(), rand::random());
     }
 
-    /// Returns the name of the current weights for cache salts, including any mark.
-    pub(crate) fn weights(&self) -> Name {
-        let info = self.info();
+    /// Returns the name of the weights in a state for cache salts, including any mark.
+    pub(crate) fn weights(&self, info: &EngineInfo) -> Name {
         let marks = self.marks.lock().unwrap();
         match marks.by_version.get(&info.weights) {
             Some(&mark) if marks.incarnation == info.incarnation => {
@@ -72,13 +71,19 @@
         }
     }
 
-    /// Returns the cache scope of a request on the current weights.
-    pub(crate) fn scope(&self, customer: &str, model: &str, adapter: &str) -> Scope {
+    /// Returns the cache scope of a request on the weights in a state.
+    pub(crate) fn scope(
+        &self,
+        info: &EngineInfo,
+        customer: &str,
+        model: &str,
+        adapter: &str,
+    ) -> Scope {
         Scope {
             customer: customer.into(),
             model: model.into(),
             adapter: adapter.into(),
-            weights: self.weights(),
+            weights: self.weights(info),
         }
     }
 }
--- a/crates/bilberry-sidecar/src/sidecar.rs
+++ b/crates/bilberry-sidecar/src/sidecar.rs
@@ -154,7 +154,7 @@
             wait_ms: wait_ms.ceil() as u32,
             prefill_ns_per_token: (self.admission.prefill_us_per_token() * 1e3) as u32,
             readiness: self.readiness().into(),
-            weights: self.view.weights().to_string(),
+            weights: self.view.weights(&info).to_string(),
             incarnation: info.incarnation as u32,
         }
     }
