cached_state: check the answers of callers for older blocks

a_change_of_weights_in_mid_traffic_uses_no_older_blocks failed once (46 violations). It read the engine's count, which has every answer that the engine has sent to its end. A short one is sent before the sidecar reads its head, sees other weights, and discards it; no caller gets it.

--- a/crates/bilberry-standins/src/answer.rs
+++ b/crates/bilberry-standins/src/answer.rs
@@ -5,7 +5,8 @@
 /// Returns the whole answer of `tokens` tokens to a prompt.
 ///
 /// It depends on the prompt and the weights only, so a test can tell whether a
-/// caller got its own answer, whole and in order.
+/// caller got its own answer, whole and in order. An engine that uses blocks of other
+/// weights or another user generates another text.
 pub fn expected_answer(prompt: &str, weights: &str, tokens: u32) -> String {
     (0..tokens).map(|at| token(prompt_seed(prompt, weights), at)).collect()
 }
--- a/crates/bilberry-standins/src/engine.rs
+++ b/crates/bilberry-standins/src/engine.rs
@@ -80,7 +80,8 @@
     pub cached_tokens: u64,
     /// Prompt tokens computed although a live engine held their block.
     pub wasted_tokens: u64,
-    /// Blocks of other weights or another user that went into finished answers.
+    /// Blocks of other weights or another user that went into answers that were sent,
+    /// whether or not the sidecar passed them on.
     pub violations: u64,
     /// Orders that were obeyed.
     pub orders: u64,
--- a/crates/bilberry-standins/src/engine_http.rs
+++ b/crates/bilberry-standins/src/engine_http.rs
@@ -217,7 +217,8 @@
             prefilled = self.prefill(&ask.cache_salt, &ask.prompt, &ask.user) => prefilled,
             () = pieces.closed() => return false,
         };
-        let seed = prompt_seed(&ask.prompt, weights);
+        // An answer that is computed from blocks of other weights or another user differs.
+        let seed = prompt_seed(&ask.prompt, weights).wrapping_add(prefilled.violations);
         let most = ask.max_tokens.unwrap_or(DEFAULT_TOKENS);
         let first = count_tokens(&ask.resume_text);
         let EngineFaults { cut_after, end_after, .. } = self.faults();
--- a/tests/tests/cached_state.rs
+++ b/tests/tests/cached_state.rs
@@ -2,6 +2,7 @@
 
 use bilberry_standins::EngineFaults;
 use bilberry_standins::EngineTraits;
+use bilberry_standins::expected_answer;
 use bilberry_tests::Fleet;
 use bilberry_tests::FleetConfig;
 use bilberry_tests::eventually;
@@ -84,7 +85,8 @@
 async fn a_change_of_weights_in_mid_traffic_uses_no_older_blocks() {
     // The engine loads new weights under traffic and keeps its cache. Requests with
     // a salt for the older weights are restarted before any output is sent, so no
-    // answer is computed from older blocks.
+    // answer is computed from older blocks. The engine's own count is not used: it has
+    // runs whose output the sidecar discards.
     let traits = EngineTraits { load_ms: 5, ..EngineTraits::default() };
     let fleet =
         Fleet::start(FleetConfig { engines: vec![traits; 2], ..FleetConfig::default() })
@@ -95,7 +97,11 @@
             tokio::spawn(async move {
                 for round in 0..25 {
                     let prompt = format!("{} {at} {round}", long_prefix());
-                    assert!(caller.complete(&prompt, 2).await.done);
+                    let answer = caller.complete(&prompt, 2).await;
+                    assert!(answer.done);
+                    let of = |weights| expected_answer(&prompt, weights, 2);
+                    let sound = ["w1", "w2", "w3", "w4"].map(of);
+                    assert!(sound.contains(&answer.text), "older blocks: {answer:?}");
                 }
             })
         })
@@ -112,9 +118,6 @@
     for running in callers {
         running.await.expect("a caller ends");
     }
-    for engine in 0..2 {
-        assert_eq!(fleet.engine_counters(engine).await.violations, 0);
-    }
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -153,7 +156,7 @@
     }
     let answer = stream.finish().await;
     assert!(answer.done);
-    assert_eq!(answer.text, bilberry_standins::expected_answer(&long_prefix(), "w1", 30));
+    assert_eq!(answer.text, expected_answer(&long_prefix(), "w1", 30));
 }
 
 #[tokio::test(flavor = "multi_thread")]
