--- a/crates/bilberry-sidecar/tests/cache_salts.rs
+++ b/crates/bilberry-sidecar/tests/cache_salts.rs
@@ -56,7 +56,7 @@
 
     async fn info(&self) -> Result<EngineInfo, EngineError> {
         let call = self.calls.fetch_add(1, Ordering::Relaxed);
-        let weights = if call % 3 == 0 { "w1" } else { "w2" }.to_string();
+        let weights = if call.is_multiple_of(3) { "w1" } else { "w2" }.to_string();
         Ok(EngineInfo { incarnation: 1, weights, max_running: 16 })
     }
 
