paused_upstreams: rename a test that shares its name with another

KNOWN-RED.txt passes over tests by their names alone. The test of the own protocol was called no_request_is_sent_to_a_host_that_stands_still, like the one of suspended_hosts, which has to go on running.

--- a/tests/tests/paused_upstreams.rs
+++ b/tests/tests/paused_upstreams.rs
@@ -108,7 +108,7 @@
 
 /// Guards against requests that wait at a host that stands still, with its sidecar and engine.
 #[tokio::test(flavor = "multi_thread")]
-async fn no_request_is_sent_to_a_host_that_stands_still() {
+async fn no_request_is_sent_to_a_silent_sidecar() {
     let fleet = fleet(2).await;
     let first = fleet.caller(0, "anna").complete(PROMPT, TOKENS).await;
     assert_complete(&first);
