HeadLimitedStream: let other tasks run while a head without end is read

Cause: interim responses are parsed by hyper in a loop for as long as the socket has bytes. The limit of 256 KiB ended that, but not before its thread had been kept for 180 ms without a pause (debug build, instrumented entry: 16 KiB of interim responses take 12 ms). With a dozen such connections all worker threads were kept, and the entry's metrics came after 95 to 171 ms on an idle machine, and after more than the 500 ms that endless_calls allows on a slower or busy one.

Ruled out: the test's own runtime (its tasks wait 0.5 ms meanwhile), and repeated requests (13 answers are begun in all).

Change: while a head is expected, at most 4 KiB are read at a time, and then other tasks have their turn. Bodies are read as before.

--- a/crates/bilberry-platform/src/head_limit.rs
+++ b/crates/bilberry-platform/src/head_limit.rs
@@ -28,6 +28,12 @@
 /// A part of a response that waits for a caller keeps the buffer into which it was read.
 const MAX_PART_BYTES: usize = 16 * 1024;
 
+/// The largest read before the head is complete, and what is read then until other tasks of
+/// the thread have their turn.
+///
+/// Parsing as many bytes of short interim responses takes a few milliseconds in a debug build.
+const MAX_HEAD_PART_BYTES: usize = 4 * 1024;
+
 /// How much may be read from a connection until the head of a response is complete.
 ///
 /// Interim responses are parsed one after the other as long as there are bytes. Without a
@@ -36,10 +42,14 @@
 pub struct HeadLimit(Arc<AtomicUsize>);
 
 /// A stream on which reads fail beyond the limit.
+///
+/// Until then, reads before the head is complete let other tasks run in between.
 #[derive(Debug)]
 pub struct HeadLimitedStream<S> {
     stream: S,
     limit: HeadLimit,
+    /// What was read for a head since other tasks had their turn.
+    turn_bytes: usize,
 }
 
 impl Default for HeadLimit {
@@ -64,6 +74,11 @@
         self.0.store(usize::MAX, Ordering::Relaxed);
     }
 
+    /// Returns whether a head is expected.
+    fn is_active(&self) -> bool {
+        self.0.load(Ordering::Relaxed) != usize::MAX
+    }
+
     /// Counts bytes; fails if they exceed the limit.
     fn count(&self, bytes: usize) -> io::Result<()> {
         let left = self.0.load(Ordering::Relaxed);
@@ -84,7 +99,7 @@
 impl<S> HeadLimitedStream<S> {
     /// Applies a limit to a stream.
     pub fn new(stream: S, limit: HeadLimit) -> Self {
-        Self { stream, limit }
+        Self { stream, limit, turn_bytes: 0 }
     }
 }
 
@@ -94,10 +109,18 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let is_head = self.limit.is_active();
+        let max_bytes = if is_head { MAX_HEAD_PART_BYTES } else { MAX_PART_BYTES };
+        if is_head && self.turn_bytes >= MAX_HEAD_PART_BYTES {
+            self.turn_bytes = 0;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let filled = buffer.filled().len();
-        let stream = &mut self.stream;
-        ready!(poll_read_at_most(stream, context, buffer, MAX_PART_BYTES))?;
-        Poll::Ready(self.limit.count(buffer.filled().len() - filled))
+        ready!(poll_read_at_most(&mut self.stream, context, buffer, max_bytes))?;
+        let read_bytes = buffer.filled().len() - filled;
+        self.turn_bytes = if is_head { self.turn_bytes + read_bytes } else { 0 };
+        Poll::Ready(self.limit.count(read_bytes))
     }
 }
 
