Router (own protocol): ask other upstreams if no candidate answers a probe

Cause: a short prompt has few candidates; with two upstreams an entry probed one. If none of the probed upstreams answered, the first of them was used, although others had not been asked. A request that met a host that stood still waited there until the silence was noticed, and its engine could begin the request when the host went on.

The probes were printed: "probed e0, no answer", sent to e0, "probed e1, ready" 0.8 to 1.4 s later.

Change: if no candidate is ready, up to as many others are probed with them, and a first answer is waited for up to 500 ms; then the first candidate, as before.

--- a/crates/bilberry-entry/src/collect.rs
+++ b/crates/bilberry-entry/src/collect.rs
@@ -4,6 +4,8 @@
 //! When it resumes, the wait has expired, but answers are still queued locally or
 //! probes have not been sent yet. A second wait makes up for the lost time, so that
 //! upstreams are not taken to be unresponsive because the entry itself was stalled.
+//! A sidecar of a busy host is late as well. Where no other upstream is left to ask, a first
+//! answer is waited for longer.
 
 use std::time::Duration;
 
@@ -26,7 +28,8 @@
 /// Collects answers until all have arrived or the wait has expired.
 ///
 /// If the wait overruns, there is a second and last one, as long as the overrun but
-/// at most `question.wait`. Each is extended for late answers.
+/// at most `question.wait`. Each is extended for late answers. If there is no answer by
+/// then, a first one is waited for, for `question.first_wait`.
 pub async fn collect_answers<S>(answers: S, question: &ProbeQuery<'_>) -> Vec<ProbeResult>
 where
     S: Stream<Item = Option<ProbeResult>> + Unpin,
@@ -38,6 +41,7 @@
         let until = Instant::now() + overrun.min(question.wait);
         collector.collect_until(until, question).await;
     }
+    collector.wait_for_first(Instant::now() + question.first_wait).await;
     // Ties between scores are broken by position, which must not depend on arrival order.
     collector.answers.sort_by_key(|answer| answer.target);
     collector.answers
@@ -75,6 +79,11 @@
         }
     }
 
+    /// Waits until there is an answer, or none is outstanding, or `until`.
+    async fn wait_for_first(&mut self, until: Instant) {
+        while self.answers.is_empty() && self.receive_next(until).await {}
+    }
+
     /// Receives the next answer; returns false if none is outstanding or none arrives by
     /// `until`. An answer that is already available is received even after `until`.
     async fn receive_next(&mut self, until: Instant) -> bool {
--- a/crates/bilberry-entry/src/knowledge.rs
+++ b/crates/bilberry-entry/src/knowledge.rs
@@ -49,6 +49,8 @@
     pub scope: &'a Scope,
     /// The time to wait for answers.
     pub wait: Duration,
+    /// The time to wait for a first answer beyond that.
+    pub first_wait: Duration,
 }
 
 /// The answer of one upstream.
--- a/crates/bilberry-entry/src/router.rs
+++ b/crates/bilberry-entry/src/router.rs
@@ -40,6 +40,9 @@
 /// The age from which a reported wait is ignored when candidates are compared by load.
 const WAIT_MAX_AGE_MS: u64 = 1_000;
 
+/// The wait for a first answer to the second round of probes.
+const FIRST_ANSWER_WAIT: Duration = Duration::from_millis(500);
+
 /// The time for which an upstream that did not answer is excluded.
 const EXCLUSION_MS: u64 = 500;
 
@@ -85,6 +88,28 @@
     pub tried: Vec<Name>,
 }
 
+/// What is asked in a round of probes.
+#[derive(Debug, Copy, Clone)]
+struct ProbeRound<'a> {
+    pool: &'a Pool,
+    request: &'a RouteRequest,
+    targets: &'a [Target],
+    chains: &'a HashMap<Name, Chain>,
+    /// The time to wait for a first answer.
+    first_wait: Duration,
+}
+
+/// What a round of probes found.
+#[derive(Debug, Copy, Clone, PartialEq, Eq)]
+enum RoundResult {
+    /// The index of the best target.
+    Chosen(usize),
+    /// Targets answered, but none accepts new requests.
+    NoneReady,
+    /// No target answered.
+    Silent,
+}
+
 /// The upstream selected for a request.
 #[derive(Debug, Clone)]
 pub struct Choice {
@@ -257,6 +282,11 @@
         (0..targets.len()).min_by_key(load).into_iter().collect()
     }
 
+    /// Selects the best of the upstreams that answer a probe.
+    ///
+    /// If none of the candidates is ready, others are probed with them: a request that is
+    /// sent to a silent upstream waits there for seconds. If none of these is ready either,
+    /// the first candidate is used.
     async fn probe_and_choose(
         &self,
         pool: &Pool,
@@ -265,6 +295,47 @@
         ranked: Vec<ProbeTarget>,
         chains: &HashMap<Name, Chain>,
     ) -> Option<usize> {
+        let first = ranked.first()?.index;
+        let round =
+            ProbeRound { pool, request, targets, chains, first_wait: Duration::ZERO };
+        let is_silent = match self.probe_round(&round, &ranked).await {
+            RoundResult::Chosen(index) => return Some(index),
+            RoundResult::NoneReady => false,
+            RoundResult::Silent => true,
+        };
+        let probed = ranked.len();
+        let widened = self.add_others(ranked, targets.len(), pool.probes);
+        if widened.len() > probed || (is_silent && probed > 1) {
+            let round = ProbeRound { first_wait: FIRST_ANSWER_WAIT, ..round };
+            if let RoundResult::Chosen(index) = self.probe_round(&round, &widened).await {
+                return Some(index);
+            }
+        }
+        Some(first)
+    }
+
+    /// Adds up to `count` of the targets that were not probed, other ones each time.
+    fn add_others(
+        &self,
+        mut probed: Vec<ProbeTarget>,
+        targets: usize,
+        count: usize,
+    ) -> Vec<ProbeTarget> {
+        let start = self.round_robin.fetch_add(1, Ordering::Relaxed);
+        let is_new = |index: &usize| probed.iter().all(|target| target.index != *index);
+        let others = (0..targets).map(|at| (start + at) % targets).filter(is_new);
+        let others: Vec<_> = others.take(count).collect();
+        probed
+            .extend(others.iter().map(|&index| ProbeTarget { index, is_ranked: false }));
+        probed
+    }
+
+    async fn probe_round(
+        &self,
+        round: &ProbeRound<'_>,
+        ranked: &[ProbeTarget],
+    ) -> RoundResult {
+        let ProbeRound { pool, request, targets, chains, first_wait } = *round;
         let probed = ranked.iter().map(|&ProbeTarget { index: at, is_ranked }| {
             let target = targets[at].clone();
             Target { is_ranked, ..target }
@@ -277,6 +348,7 @@
             chains,
             scope: &request.scope,
             wait: self.probe_timeout,
+            first_wait,
         };
         let answers = self.knowledge.probe(&probed, &question).await;
         self.record_answers(&probed, &answers);
@@ -287,8 +359,11 @@
         let best = choose(&views, blocks, weighing).map(|at| ready[at].target);
         let explained = Explained::new(&probed, &answers, blocks, weighing, best);
         self.node.events.record(&request.request, "routed", explained.detail());
-        // If no upstream answered that it is ready, the first candidate is used.
-        best.or_else(|| views.is_empty().then_some(0)).map(|at| ranked[at].index)
+        match best {
+            Some(at) => RoundResult::Chosen(ranked[at].index),
+            None if answers.is_empty() => RoundResult::Silent,
+            None => RoundResult::NoneReady,
+        }
     }
 
     fn record_answers(&self, probed: &[Target], answers: &[ProbeResult]) {
--- a/crates/bilberry-entry/tests/collect.rs
+++ b/crates/bilberry-entry/tests/collect.rs
@@ -19,6 +19,8 @@
 
 const WAIT: Duration = Duration::from_millis(10);
 
+const FIRST_WAIT: Duration = Duration::from_millis(500);
+
 /// The time from the start of the collection to the stall, and the length of the stall.
 const STALL_DELAY: Duration = Duration::from_millis(3);
 const STALL_DURATION: Duration = Duration::from_millis(60);
@@ -43,11 +45,16 @@
 /// Collects answers that arrive at the given times, blocking the runtime thread
 /// meanwhile, and returns their targets.
 async fn collect_during_stall(arrivals_ms: &[u64]) -> Vec<usize> {
-    let began = Instant::now();
     tokio::spawn(async {
         sleep(STALL_DELAY).await;
         thread::sleep(STALL_DURATION);
     });
+    collect(arrivals_ms, Duration::ZERO).await
+}
+
+/// Collects answers that arrive at the given times, and returns their targets.
+async fn collect(arrivals_ms: &[u64], first_wait: Duration) -> Vec<usize> {
+    let began = Instant::now();
     let answers = arrivals_ms.iter().enumerate().map(|(target, arrival_ms)| async move {
         sleep_until(began + Duration::from_millis(*arrival_ms)).await;
         Some(answer(target, target as u64))
@@ -67,6 +74,7 @@
         chains: &HashMap::from([(Name::from("w1"), chain)]),
         scope: &scope,
         wait: WAIT,
+        first_wait,
     };
     let collected = collect_answers(answers, &question).await;
     collected.into_iter().map(|answer| answer.target).collect()
@@ -88,3 +96,15 @@
     assert_eq!(collect_during_stall(&[20, 5_000]).await, [0]);
     assert!(began.elapsed() < Duration::from_millis(500), "{:?}", began.elapsed());
 }
+
+#[tokio::test]
+async fn a_first_answer_is_waited_for_while_all_are_late() {
+    assert_eq!(collect(&[5_000, 200, 210], FIRST_WAIT).await, [1]);
+}
+
+#[tokio::test]
+async fn silent_upstreams_are_not_waited_for_without_end() {
+    let began = Instant::now();
+    assert!(collect(&[5_000, 5_000], FIRST_WAIT).await.is_empty());
+    assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+}
--- a/tests/tests/paused_upstreams.rs
+++ b/tests/tests/paused_upstreams.rs
@@ -23,6 +23,16 @@
 /// The time in which an entry finds that a sidecar is silent.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// A pause of a sidecar that is late to answer whether it has room.
+const SHORT_PAUSE: Duration = Duration::from_millis(200);
+
+/// How many requests are sent meanwhile.
+const LATE_REQUESTS: u32 = 6;
+
+/// How long such a request may take: the pause, its 60 tokens of 10 ms, and no more than the
+/// same again, as a silent host is not waited for.
+const MAX_LATE_TIME: Duration = Duration::from_millis(1_600);
+
 /// A pause longer than all attempts at an engine that doesn't respond.
 const ENGINE_PAUSE: Duration = Duration::from_secs(20);
 
@@ -125,3 +135,30 @@
     let runs = fleet.engine_counters(0).await.runs + fleet.engine_counters(1).await.runs;
     assert_eq!(runs, 5, "a request was sent to both");
 }
+
+/// Guards against requests that wait at a silent host because the other sidecar is late.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_request_is_sent_to_a_silent_sidecar_while_the_other_is_late() {
+    let fleet = fleet(2).await;
+    assert_complete(&fleet.caller(0, "anna").complete(PROMPT, TOKENS).await);
+    fleet.sidecars[0].suspend();
+    fleet.upstreams[0].suspend();
+    sleep(SILENCE_TIMEOUT).await;
+    let began = Instant::now();
+    for number in 0..LATE_REQUESTS {
+        let caller = fleet.caller(0, "anna");
+        let prompt = format!("Draw mark {number} for a tea house.");
+        fleet.sidecars[1].suspend();
+        let asking = tokio::spawn(async move { caller.complete(&prompt, TOKENS).await });
+        sleep(SHORT_PAUSE).await;
+        fleet.sidecars[1].resume();
+        let answer = asking.await.expect("the caller panicked");
+        assert!(answer.done && answer.error.is_none(), "{answer:?}");
+    }
+    let mean_time = began.elapsed() / LATE_REQUESTS;
+    assert!(mean_time <= MAX_LATE_TIME, "{mean_time:?} a request");
+    fleet.upstreams[0].resume();
+    fleet.sidecars[0].resume();
+    let runs = fleet.engine_counters(0).await.runs + fleet.engine_counters(1).await.runs;
+    assert_eq!(runs, 1 + u64::from(LATE_REQUESTS), "a request was sent to both");
+}
