Breaker: a clock that steps back does not keep it open

Cause: a breaker stored the end of its refusal by the wall clock and compared only that end. If the clock was set back while it was open, calls to the store, and in the own protocol to upstreams and peers, were refused until the clock had caught up.

Change: the breaker stores when its refusal began, too, and is open between the two only. The delay before the next connection to a peer (links.rs) is a monotonic time.

Measured: a_clock_that_steps_back_does_not_keep_a_breaker_open failed on the code before (with the times stored as then) and passes.

--- a/crates/bilberry-core/src/breaker.rs
+++ b/crates/bilberry-core/src/breaker.rs
@@ -20,9 +20,12 @@
 }
 
 /// Counts consecutive failures and refuses calls while the remote side is down.
+///
+/// A step of the clock ends a refusal: if it went back, nobody knows how much of it is left.
 #[derive(Debug, Clone, Default)]
 pub struct Breaker {
     consecutive_failures: u32,
+    open_from: UnixMs,
     open_until: UnixMs,
 }
 
@@ -36,7 +39,7 @@
     pub fn state(&self, now: UnixMs) -> BreakerState {
         match self.consecutive_failures {
             n if n < FAILURE_THRESHOLD => BreakerState::Closed,
-            _ if !self.open_until.has_passed_at(now) => BreakerState::Open,
+            _ if (self.open_from..self.open_until).contains(&now) => BreakerState::Open,
             _ => BreakerState::HalfOpen,
         }
     }
@@ -50,7 +53,7 @@
                 // An abandoned trial call never reports its result. A deadline
                 // admits another trial later, whereas a flag would stay set and
                 // keep the breaker open forever.
-                self.open_until = now.plus_ms(TRIAL_TIMEOUT_MS);
+                self.refuse(now, TRIAL_TIMEOUT_MS);
                 true
             }
         }
@@ -61,9 +64,14 @@
         *self = Self::default();
     }
 
-    /// Records a failed call; an open breaker refuses calls until `retry_at`.
-    pub fn record_failure(&mut self, retry_at: UnixMs) {
+    /// Records a failed call; an open breaker refuses calls for `open_ms`.
+    pub fn record_failure(&mut self, now: UnixMs, open_ms: u64) {
         self.consecutive_failures = self.consecutive_failures.saturating_add(1);
-        self.open_until = retry_at;
+        self.refuse(now, open_ms);
+    }
+
+    fn refuse(&mut self, now: UnixMs, open_ms: u64) {
+        self.open_from = now;
+        self.open_until = now.plus_ms(open_ms);
     }
 }
--- a/crates/bilberry-core/tests/decisions.rs
+++ b/crates/bilberry-core/tests/decisions.rs
@@ -227,7 +227,7 @@
     let mut breaker = Breaker::new();
     for _ in 0..3 {
         assert!(breaker.try_acquire(UnixMs(0)));
-        breaker.record_failure(UnixMs(100));
+        breaker.record_failure(UnixMs(0), 100);
     }
     assert!(!breaker.try_acquire(UnixMs(50)));
     assert!(breaker.try_acquire(UnixMs(100)));
@@ -237,6 +237,23 @@
     assert!(breaker.try_acquire(UnixMs(10_000)));
 }
 
+/// Guards against upstreams and stores that are left out until a clock that was set back has
+/// caught up.
+#[test]
+fn a_clock_that_steps_back_does_not_keep_a_breaker_open() {
+    const HOUR_MS: u64 = 3_600_000;
+    let mut breaker = Breaker::new();
+    for _ in 0..3 {
+        breaker.record_failure(UnixMs(HOUR_MS), 100);
+    }
+    assert!(!breaker.try_acquire(UnixMs(HOUR_MS + 50)));
+    assert!(breaker.try_acquire(UnixMs(50)), "refused until the clock has caught up");
+    assert!(!breaker.try_acquire(UnixMs(51)), "only one trial is admitted");
+    breaker.record_failure(UnixMs(60), 100);
+    assert!(!breaker.try_acquire(UnixMs(150)));
+    assert!(breaker.try_acquire(UnixMs(160)));
+}
+
 #[test]
 fn the_wait_for_late_probes_is_a_third_of_the_recompute_time() {
     // After a restart, the upstream that has cached a long prefix responds late to its
--- a/crates/bilberry-entry/src/router.rs
+++ b/crates/bilberry-entry/src/router.rs
@@ -175,9 +175,10 @@
 
     /// Records that an upstream failed, which excludes it temporarily.
     pub fn record_failure(&self, upstream: &Name) {
-        let retry_at = SystemClock.now().plus_ms(EXCLUSION_MS);
+        let now = SystemClock.now();
         let mut states = self.states.lock().unwrap();
-        states.entry(upstream.clone()).or_default().breaker.record_failure(retry_at);
+        let state = states.entry(upstream.clone()).or_default();
+        state.breaker.record_failure(now, EXCLUSION_MS);
     }
 
     /// Returns the eligible upstreams of the pool.
@@ -379,7 +380,7 @@
                         Some(answer.weights.clone()).filter(|w| !w.is_empty());
                     entry.breaker.record_success();
                 }
-                None => entry.breaker.record_failure(now.plus_ms(EXCLUSION_MS)),
+                None => entry.breaker.record_failure(now, EXCLUSION_MS),
             }
         }
     }
--- a/crates/bilberry-node/src/links.rs
+++ b/crates/bilberry-node/src/links.rs
@@ -6,10 +6,8 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use bilberry_core::Clock;
-use bilberry_core::SystemClock;
-use bilberry_core::UnixMs;
 use bilberry_wire::Body;
+use tokio::time::Instant;
 use tokio::time::timeout;
 
 use crate::Call;
@@ -18,7 +16,7 @@
 use crate::link::PeerConnection;
 
 /// The delay before connecting again to a peer that could not be reached.
-const RECONNECT_DELAY_MS: u64 = 200;
+const RECONNECT_DELAY: Duration = Duration::from_millis(200);
 
 /// The pool of connections to peers.
 #[derive(Debug, Clone)]
@@ -36,7 +34,7 @@
 #[derive(Debug, Default)]
 struct Slot {
     link: Option<Arc<PeerConnection>>,
-    retry_at: UnixMs,
+    retry_at: Option<Instant>,
 }
 
 impl PeerPool {
@@ -94,7 +92,7 @@
     }
     // Without this delay each request would try to connect to an unreachable peer
     // and wait for the connect timeout.
-    if !slot.retry_at.has_passed_at(SystemClock.now()) {
+    if slot.retry_at.is_some_and(|at| Instant::now() < at) {
         return Err(PeerError::Unreachable(peer));
     }
     if let Some(link) = slot.link.take() {
@@ -107,7 +105,7 @@
         }
         Err(error) => {
             slot.link = None;
-            slot.retry_at = SystemClock.now().plus_ms(RECONNECT_DELAY_MS);
+            slot.retry_at = Some(Instant::now() + RECONNECT_DELAY);
             Err(error)
         }
     }
--- a/crates/bilberry-platform/src/http.rs
+++ b/crates/bilberry-platform/src/http.rs
@@ -164,7 +164,7 @@
         let unit = rand::random_range(0.5..1.0);
         let max_ms = self.shared.max_open_ms;
         let open_ms = backoff_ms(health.consecutive_failures, MIN_OPEN_MS, max_ms, unit);
-        health.breaker.record_failure(SystemClock.now().plus_ms(open_ms));
+        health.breaker.record_failure(SystemClock.now(), open_ms);
     }
 }
 
--- a/crates/bilberry-sidecar/src/health.rs
+++ b/crates/bilberry-sidecar/src/health.rs
@@ -58,6 +58,5 @@
 }
 
 fn fail(breaker: &Mutex<Breaker>) {
-    let retry_at = SystemClock.now().plus_ms(BREAKER_OPEN_MS);
-    breaker.lock().unwrap().record_failure(retry_at);
+    breaker.lock().unwrap().record_failure(SystemClock.now(), BREAKER_OPEN_MS);
 }
