part_blame: keep the seed of a part that is rejected although no part crashes servers

Traced (a copy of the model that prints crashes and reports): all 18 servers fail at 70 ms, with runs at nine of them, all with the popular part; at 2,175 ms again, 50 ms into the first trials, which are all at one server. The part then was at ten crashes, one in a trial, and is blamed. Later failures find idle servers and so leave no report: no crash is known without the part, and the second trial after 10 s, which needs one, is never made: 2,472 of 2,487 are rejected.

Not fixed: a second trial without such a crash would bring one more crash for each part that does crash servers, and would not make the property hold.

--- a/crates/bilberry-core/tests/part_blame.rs
+++ b/crates/bilberry-core/tests/part_blame.rs
@@ -209,6 +209,15 @@
     assert_eq!(outcome.sound_rejected, 0, "{outcome:?}");
 }
 
+/// Guards against a popular part that is rejected for long because all servers failed together
+/// twice before anything was served.
+#[test]
+fn two_failures_of_all_servers_before_any_answer_reject_nothing() {
+    let load = Load { crashing_every_ms: 0, other_crashes: (3_000, 18), ..USUAL };
+    let outcome = Model::new(load, 5335491092856803157).run();
+    assert_eq!(outcome.sound_rejected, 0, "{outcome:?}");
+}
+
 /// Returns the sum of the outcomes of some seeds, with the most late sends of any.
 fn total(load: Load, seeds: u64) -> Outcome {
     let mut total = Outcome::default();
