--- a/crates/bilberry-platform/src/head_limit.rs
+++ b/crates/bilberry-platform/src/head_limit.rs
@@ -30,8 +30,6 @@
 
 /// The largest read before the head is complete, and what is read then until other tasks of
 /// the thread have their turn.
-///
-/// Parsing as many bytes of short interim responses takes a few milliseconds in a debug build.
 const MAX_HEAD_PART_BYTES: usize = 4 * 1024;
 
 /// How much may be read from a connection until the head of a response is complete.
